Lay out the workspace: names, messages, schema, settings, telemetry, test command

Cause: an empty repository; every part needs the same words and borders before it can be built beside the others.

Before: nothing.

No daemon runs yet.

--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,3 @@
+//! `gypsum-agent`.
+
+fn main() {}
--- /dev/null
+++ b/crates/bench/src/cmd/ledger.rs
@@ -0,0 +1,19 @@
+//! `gypsum-bench ledger`.
+
+use clap::{ArgMatches, Command};
+
+use crate::error::Error;
+
+/// The arguments.
+pub fn command() -> Command {
+    Command::new("ledger")
+}
+
+/// Runs the measurement and prints one JSON object per line.
+///
+/// # Errors
+///
+/// If it could not be run to its end.
+pub fn run(_: &ArgMatches) -> Result<(), Error> {
+    Err(Error::Missing { name: "ledger" })
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,4 @@
+//! The bench: starts the system on loopback and measures it. Never linked into the product.
+
+pub mod cmd;
+pub mod error;
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,5 @@
+//! `gypsum-control`: the replicated state, its feed and the operators' interface.
+//!
+//! See `docs/ARCHITECTURE.md`, "Control".
+
+pub mod log;
--- /dev/null
+++ b/crates/control/src/main.rs
@@ -0,0 +1,3 @@
+//! `gypsum-control`.
+
+fn main() {}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! `gypsumctl`.
+
+fn main() {}
--- /dev/null
+++ b/crates/domain/src/command.rs
@@ -0,0 +1,51 @@
+//! Commands of the replicated log and their replies.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{artifact, edit, ledger, rollout::Stage};
+
+/// One command. All replicas apply the same ones in the same order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// An operator's edit with the manifests that it needs.
+    Edit {
+        /// The edit.
+        edit: edit::Edit,
+        /// Pins of artifacts that the edit names for the first time.
+        pins: edit::Pins,
+        /// When the leader took it, in milliseconds since the Unix epoch.
+        at_ms: u64,
+    },
+    /// A write to the ledger.
+    Ledger {
+        /// The write.
+        write: ledger::Write,
+        /// When the leader took it, in milliseconds since the Unix epoch.
+        at_ms: u64,
+    },
+    /// A rollout moves on.
+    Advance {
+        /// The version.
+        artifact: artifact::Id,
+        /// The stage from which it was decided; another one makes the command void.
+        from: Stage,
+        /// The new stage.
+        to: Stage,
+    },
+    /// Forget ledger entries and edit ids that ended before this time.
+    Expire {
+        /// Milliseconds since the Unix epoch.
+        before_ms: u64,
+    },
+}
+
+/// The reply to a command, the same on every replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// To an edit.
+    Edit(edit::Answer),
+    /// To a ledger write.
+    Ledger(ledger::Reply),
+    /// To the rest.
+    Done,
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! `gypsum-entry`.
+
+fn main() {}
--- /dev/null
+++ b/crates/fakes/src/bin/fake-engine.rs
@@ -0,0 +1,3 @@
+//! `fake-engine`.
+
+fn main() {}
--- /dev/null
+++ b/crates/fakes/src/bin/fake-origin.rs
@@ -0,0 +1,3 @@
+//! `fake-origin`.
+
+fn main() {}
--- /dev/null
+++ b/crates/fakes/src/bin/fake-service.rs
@@ -0,0 +1,3 @@
+//! `fake-service`.
+
+fn main() {}
--- /dev/null
+++ b/crates/fakes/src/origin.rs
@@ -0,0 +1,1 @@
+//! A stand-in, see `docs/CONTRACTS.md`.
--- /dev/null
+++ b/crates/peer/src/connection.rs
@@ -0,0 +1,118 @@
+//! Connections: dialling, login, and calls with a timeout.
+
+use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
+use futures::FutureExt;
+use snafu::ResultExt;
+use tokio::{net::TcpStream, task::JoinHandle, time};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use crate::{
+    error::{Error, IoSnafu, RpcSnafu, Step, TimeoutSnafu},
+    wire_capnp::login,
+};
+
+/// Fast enough for one answer in flight, and it bounds what a silent peer can hold back.
+pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How to reach the system's own processes.
+#[derive(Clone)]
+pub struct Dialer {
+    secret: Arc<[u8]>,
+    timeout: Duration,
+}
+
+impl Dialer {
+    /// A dialer that presents the given shared secret.
+    pub fn new(secret: impl Into<Arc<[u8]>>) -> Self {
+        Self {
+            secret: secret.into(),
+            timeout: DEFAULT_TIMEOUT,
+        }
+    }
+
+    /// Sets how long one step may take.
+    #[must_use]
+    pub fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    /// The shared secret.
+    pub fn secret(&self) -> &[u8] {
+        &self.secret
+    }
+
+    /// Opens a connection. It must be called inside a `LocalSet`.
+    pub async fn dial(&self, peer: SocketAddr) -> Result<Connection, Error> {
+        let step = Step::Connect;
+        let millis = as_millis(self.timeout);
+        let stream = time::timeout(self.timeout, TcpStream::connect(peer))
+            .await
+            .map_err(|_| TimeoutSnafu { step, peer, millis }.build())?
+            .context(IoSnafu { step, peer })?;
+        stream.set_nodelay(true).context(IoSnafu { step, peer })?;
+        let (reader, writer) = stream.into_split();
+        let network = twoparty::VatNetwork::new(
+            reader.compat(),
+            writer.compat_write(),
+            Side::Client,
+            Default::default(),
+        );
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let login = system.bootstrap(Side::Server);
+        let task = tokio::task::spawn_local(system.map(|_| ()));
+        Ok(Connection {
+            peer,
+            login,
+            timeout: self.timeout,
+            task,
+        })
+    }
+}
+
+/// An open connection. Dropping it closes it and fails its running calls.
+pub struct Connection {
+    peer: SocketAddr,
+    pub(crate) login: login::Client,
+    timeout: Duration,
+    task: JoinHandle<()>,
+}
+
+impl Connection {
+    /// The other end.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Whether the connection has ended. A silent one looks open until a call times out.
+    pub fn is_closed(&self) -> bool {
+        self.task.is_finished()
+    }
+
+    /// Waits for an answer, at most as long as the dialer allows beyond `extra`.
+    pub async fn call<T>(
+        &self,
+        step: Step,
+        extra: Duration,
+        answer: impl Future<Output = capnp::Result<T>>,
+    ) -> Result<T, Error> {
+        let limit = self.timeout + extra;
+        let (peer, millis) = (self.peer, as_millis(limit));
+        time::timeout(limit, answer)
+            .await
+            .map_err(|_| TimeoutSnafu { step, peer, millis }.build())?
+            .context(RpcSnafu { step, peer })
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn as_millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/peer/src/uplink.rs
@@ -0,0 +1,375 @@
+//! The link of an entry or an agent to control: feed, heartbeats and ledger writes.
+//!
+//! One thread keeps a session with one home replica and moves to the next one when it fails. The
+//! handle may be used from any thread.
+
+use std::{net::SocketAddr, rc::Rc, sync::Arc, thread, time::Duration};
+
+use arc_swap::ArcSwap;
+use domain::{
+    clock::{Clock, Instant},
+    digest::Digest,
+    ledger, name, vm,
+};
+use policy::{age::Bound, view::View};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::LocalSet,
+    time,
+};
+
+use crate::{
+    connection::Dialer,
+    control::{Poll, Scope, Session},
+    error::{Error, Step},
+};
+
+/// How long a poll waits for a change.
+const POLL_WAIT: Duration = Duration::from_millis(500);
+/// The time between two heartbeats of an agent.
+const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
+/// The shortest pause after a failed session.
+const MIN_BACKOFF: Duration = Duration::from_millis(50);
+/// The longest pause after a failed session.
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
+/// Ledger writes beyond this many wait for their turn.
+const MAX_QUEUED_WRITES: usize = 1_024;
+
+/// How the link is set up.
+#[derive(Clone)]
+pub struct Config {
+    /// The name of this VM; it decides the order in which replicas are tried.
+    pub vm: name::Vm,
+    /// Addresses of control replicas.
+    pub control: Vec<SocketAddr>,
+    /// How to reach them.
+    pub dialer: Dialer,
+    /// How much of the state is needed.
+    pub scope: Scope,
+}
+
+/// What an agent tells control, kept current by the agent.
+pub type Presence = watch::Receiver<Option<Arc<vm::Vm>>>;
+
+/// The state of the feed at one moment.
+#[derive(Clone, Debug)]
+pub struct Feed {
+    /// The records.
+    pub view: Arc<View>,
+    /// The age of the committed part.
+    pub bound: Bound,
+}
+
+impl Feed {
+    /// Whether the state may be acted on.
+    pub fn is_fresh(&self, now: Instant, max_age: Duration) -> bool {
+        self.bound.is_fresh(now, max_age)
+    }
+}
+
+/// The handle of the link.
+#[derive(Clone)]
+pub struct Client {
+    feed: Arc<ArcSwap<Feed>>,
+    changes: watch::Receiver<u64>,
+    writes: mpsc::Sender<Write>,
+}
+
+struct Write {
+    write: ledger::Write,
+    deadline: Duration,
+    reply: oneshot::Sender<Result<ledger::Reply, Error>>,
+}
+
+impl Client {
+    /// Starts the link's thread. It ends when the last handle is dropped.
+    ///
+    /// # Errors
+    ///
+    /// If the thread could not be started.
+    pub fn new(
+        config: Config,
+        clock: Arc<dyn Clock>,
+        presence: Option<Presence>,
+    ) -> std::io::Result<Self> {
+        let feed = Arc::new(ArcSwap::from_pointee(Feed {
+            view: Arc::default(),
+            bound: Bound::UNKNOWN,
+        }));
+        let (changed, changes) = watch::channel(0);
+        let (writes, queue) = mpsc::channel(MAX_QUEUED_WRITES);
+        let link = Link {
+            config,
+            clock,
+            feed: feed.clone(),
+            changed,
+            presence,
+        };
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        thread::Builder::new()
+            .name("uplink".to_owned())
+            .spawn(move || {
+                LocalSet::new().block_on(&runtime, Rc::new(link).run(queue));
+            })?;
+        Ok(Self {
+            feed,
+            changes,
+            writes,
+        })
+    }
+
+    /// The state as it is now known.
+    pub fn feed(&self) -> Arc<Feed> {
+        self.feed.load_full()
+    }
+
+    /// Changes its value whenever the records change.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.clone()
+    }
+
+    /// Writes to the ledger through any replica, and tries again until the deadline.
+    ///
+    /// A write is idempotent, so a resend after a lost answer gets the same reply.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] if no replica answered in time. The write may still take effect.
+    pub async fn ledger(
+        &self,
+        write: ledger::Write,
+        deadline: Duration,
+    ) -> Result<ledger::Reply, Error> {
+        let (reply, answer) = oneshot::channel();
+        let unreachable = || Error::Unreachable {
+            step: Step::Call("ledger"),
+            millis: u64::try_from(deadline.as_millis()).unwrap_or(u64::MAX),
+        };
+        let exchange = async {
+            self.writes
+                .send(Write {
+                    write,
+                    deadline,
+                    reply,
+                })
+                .await
+                .ok()?;
+            answer.await.ok()
+        };
+        match time::timeout(deadline, exchange).await {
+            Ok(Some(answer)) => answer,
+            Ok(None) | Err(_) => Err(unreachable()),
+        }
+    }
+}
+
+struct Link {
+    config: Config,
+    clock: Arc<dyn Clock>,
+    feed: Arc<ArcSwap<Feed>>,
+    changed: watch::Sender<u64>,
+    presence: Option<Presence>,
+}
+
+impl Link {
+    async fn run(self: Rc<Self>, queue: mpsc::Receiver<Write>) {
+        let subscription = tokio::task::spawn_local(self.clone().subscribe());
+        let announcing = tokio::task::spawn_local(self.clone().announce());
+        self.write(queue).await;
+        subscription.abort();
+        announcing.abort();
+    }
+
+    /// The replicas in the order in which this VM tries them.
+    fn replicas(&self) -> Vec<SocketAddr> {
+        let mut replicas = self.config.control.clone();
+        replicas.sort_by_cached_key(|addr| {
+            let digest = Digest::of(format!("{}/{addr}", self.config.vm).as_bytes());
+            *digest.as_bytes()
+        });
+        replicas
+    }
+
+    async fn subscribe(self: Rc<Self>) {
+        let mut pause = Pause::new();
+        for replica in self.replicas().into_iter().cycle() {
+            if let Ok(session) = Session::open(&self.config.dialer, replica).await {
+                // The session's failure is the reason to take the next replica.
+                let _ = self.follow(&session, &mut pause).await;
+            }
+            pause.wait().await;
+        }
+    }
+
+    async fn follow(&self, session: &Session, pause: &mut Pause) -> Result<(), Error> {
+        loop {
+            let asked_at = self.clock.now();
+            let feed = self.feed.load_full();
+            let poll = Poll {
+                cursor: feed.view.cursor,
+                scope: self.config.scope,
+                wait: POLL_WAIT,
+            };
+            let batch = session.poll(poll).await?;
+            let bound = Bound::new(asked_at, Duration::from_millis(batch.age_ms));
+            let is_change = batch.is_snapshot || !batch.deltas.is_empty();
+            let is_moved = batch.cursor != feed.view.cursor || batch.revision != feed.view.revision;
+            let view = if is_change || is_moved {
+                let mut view = View::clone(&feed.view);
+                if view.apply(batch).is_err() {
+                    return Ok(());
+                }
+                Arc::new(view)
+            } else {
+                feed.view.clone()
+            };
+            pause.reset();
+            self.feed.store(Arc::new(Feed {
+                view,
+                bound: bound.tightest(feed.bound),
+            }));
+            if is_change {
+                self.changed.send_modify(|n| *n += 1);
+            }
+        }
+    }
+
+    async fn announce(self: Rc<Self>) {
+        let Some(mut presence) = self.presence.clone() else {
+            return;
+        };
+        let mut pause = Pause::new();
+        for replica in self.replicas().into_iter().cycle() {
+            if let Ok(session) = Session::open(&self.config.dialer, replica).await {
+                let _ = keep_session(&session, &mut presence, &mut pause).await;
+            }
+            pause.wait().await;
+        }
+    }
+
+    async fn write(self: Rc<Self>, mut queue: mpsc::Receiver<Write>) {
+        let shared = Rc::new(tokio::sync::Mutex::new(None::<Rc<Session>>));
+        while let Some(write) = queue.recv().await {
+            let link = self.clone();
+            let shared = shared.clone();
+            tokio::task::spawn_local(async move {
+                let attempt = link.write_one(&write.write, &shared);
+                if let Ok(answer) = time::timeout(write.deadline, attempt).await {
+                    // A receiver that is gone has passed its own deadline.
+                    let _ = write.reply.send(Ok(answer));
+                }
+            });
+        }
+    }
+
+    async fn write_one(
+        &self,
+        write: &ledger::Write,
+        shared: &tokio::sync::Mutex<Option<Rc<Session>>>,
+    ) -> ledger::Reply {
+        let mut pause = Pause::new();
+        let mut replicas = self.replicas().into_iter().cycle();
+        loop {
+            let session = self.session(shared, &mut replicas).await;
+            if let Some(session) = session {
+                match session.ledger(write).await {
+                    Ok(reply) => return reply,
+                    Err(_) => discard(shared, &session).await,
+                }
+            }
+            pause.wait().await;
+        }
+    }
+
+    async fn session(
+        &self,
+        shared: &tokio::sync::Mutex<Option<Rc<Session>>>,
+        replicas: &mut impl Iterator<Item = SocketAddr>,
+    ) -> Option<Rc<Session>> {
+        let mut shared = shared.lock().await;
+        match shared.as_ref() {
+            Some(session) if !session.connection().is_closed() => Some(session.clone()),
+            _ => {
+                let session = Session::open(&self.config.dialer, replicas.next()?)
+                    .await
+                    .ok()?;
+                let session = Rc::new(session);
+                *shared = Some(session.clone());
+                Some(session)
+            }
+        }
+    }
+}
+
+async fn discard(shared: &tokio::sync::Mutex<Option<Rc<Session>>>, failed: &Rc<Session>) {
+    let mut shared = shared.lock().await;
+    if shared
+        .as_ref()
+        .is_some_and(|session| Rc::ptr_eq(session, failed))
+    {
+        *shared = None;
+    }
+}
+
+async fn keep_session(
+    session: &Session,
+    presence: &mut Presence,
+    pause: &mut Pause,
+) -> Result<(), Error> {
+    let mut beat = time::interval(HEARTBEAT_PERIOD);
+    let mut is_announced = false;
+    loop {
+        let current = presence.borrow_and_update().clone();
+        let Some(vm) = current else {
+            if presence.changed().await.is_err() {
+                return Ok(());
+            }
+            continue;
+        };
+        let announcement = &vm.announcement;
+        if !is_announced {
+            session.announce(announcement, &vm.status).await?;
+            pause.reset();
+        }
+        if vm.status.lifecycle == vm::Lifecycle::Gone {
+            return session
+                .leave(&announcement.vm, announcement.incarnation)
+                .await;
+        }
+        tokio::select! {
+            changed = presence.changed() => {
+                if changed.is_err() {
+                    return Ok(());
+                }
+                is_announced = false;
+            }
+            _ = beat.tick() => {
+                is_announced =
+                    session.heartbeat(&announcement.vm, announcement.incarnation).await?;
+            }
+        }
+    }
+}
+
+/// A jittered pause that doubles with each failure.
+struct Pause {
+    next: Duration,
+}
+
+impl Pause {
+    fn new() -> Self {
+        Self { next: MIN_BACKOFF }
+    }
+
+    fn reset(&mut self) {
+        self.next = MIN_BACKOFF;
+    }
+
+    async fn wait(&mut self) {
+        let jitter: f64 = rand::random_range(0.5..1.0);
+        time::sleep(self.next.mul_f64(jitter)).await;
+        self.next = (self.next * 2).min(MAX_BACKOFF);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,8 @@
+//! Decisions of the system, as plain state machines.
+//!
+//! Nothing here reads a clock, opens a socket or draws randomness by itself: inputs are messages
+//! and a passed-in [`domain::clock::Instant`], outputs are values, and generators are handed in.
+//! So the same code runs in the daemons, in tests and in the bench. See `docs/ARCHITECTURE.md`.
+
+pub mod age;
+pub mod view;
--- /dev/null
+++ b/crates/policy/src/view.rs
@@ -0,0 +1,174 @@
+//! The state as entries and agents see it, built from the feed's records.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use domain::{
+    artifact,
+    digest::Digest,
+    edit::Revision,
+    lists, name,
+    record::{Batch, Cursor, Delta, Key, Record},
+    rollout::{Rollout, Stage},
+    vm::Vm,
+};
+
+/// All records of the feed, indexed for look-ups. Clones share the records.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The newest accepted edit contained.
+    pub revision: Revision,
+    /// The index of the last command of the replicated log contained.
+    pub commit: u64,
+    /// How far the view has come.
+    pub cursor: Cursor,
+    /// Customers by name.
+    pub customers: BTreeMap<name::Customer, Arc<lists::Customer>>,
+    /// Plans by name.
+    pub plans: BTreeMap<name::Plan, Arc<lists::Plan>>,
+    /// Rollouts by version.
+    pub rollouts: BTreeMap<artifact::Id, Arc<Rollout>>,
+    /// Availability zones that are out of service.
+    pub zones_out: BTreeSet<name::AvailabilityZone>,
+    /// VMs that an operator drains.
+    pub drains: BTreeSet<name::Vm>,
+    /// VMs that announced themselves.
+    pub vms: BTreeMap<name::Vm, Arc<Vm>>,
+    keys: HashMap<Digest, name::Customer>,
+}
+
+/// The batch belongs to an older state than the view and was not applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("feed fell from commit {have} to {offered}")]
+pub struct Regression {
+    /// The commit index of the view.
+    pub have: u64,
+    /// The commit index of the batch.
+    pub offered: u64,
+}
+
+impl View {
+    /// Takes the changes of a batch, or refuses a batch of an older state.
+    ///
+    /// # Errors
+    ///
+    /// [`Regression`] if the batch is older than the view.
+    pub fn apply(&mut self, batch: Batch) -> Result<(), Regression> {
+        if batch.commit < self.commit || batch.revision < self.revision {
+            return Err(Regression {
+                have: self.commit,
+                offered: batch.commit,
+            });
+        }
+        if batch.is_snapshot {
+            *self = Self::default();
+        }
+        for delta in batch.deltas {
+            match delta {
+                Delta::Set(record) => self.set(record),
+                Delta::Remove(key) => self.remove(&key),
+            }
+        }
+        self.revision = batch.revision;
+        self.commit = batch.commit;
+        self.cursor = batch.cursor;
+        Ok(())
+    }
+
+    /// The customer that holds the key with the given digest.
+    pub fn customer_by_key(&self, key: &Digest) -> Option<&Arc<lists::Customer>> {
+        self.customers.get(self.keys.get(key)?)
+    }
+
+    /// The version of a model that a plan is served now.
+    ///
+    /// It is the first of the plan's versions that is ready. Readiness is committed, so that all
+    /// entries move together.
+    pub fn served_version(&self, grant: &lists::Grant) -> Option<artifact::Id> {
+        grant.models().find(|id| self.is_ready(id))
+    }
+
+    /// Whether enough warm capacity serves the version.
+    pub fn is_ready(&self, id: &artifact::Id) -> bool {
+        self.rollouts
+            .get(id)
+            .is_some_and(|rollout| rollout.stage == Stage::Ready)
+    }
+
+    /// Whether new work may go to the VM's zone and to the VM.
+    pub fn is_in_service(&self, vm: &Vm) -> bool {
+        let announcement = &vm.announcement;
+        !self.zones_out.contains(&announcement.zone) && !self.drains.contains(&announcement.vm)
+    }
+
+    fn set(&mut self, record: Record) {
+        match record {
+            Record::Customer(customer) => self.set_customer(customer),
+            Record::Plan(plan) => {
+                self.plans.insert(plan.name.clone(), Arc::new(plan));
+            }
+            Record::Rollout(rollout) => {
+                self.rollouts
+                    .insert(rollout.artifact.clone(), Arc::new(rollout));
+            }
+            Record::ZoneOut(zone) => {
+                self.zones_out.insert(zone);
+            }
+            Record::Drain(vm) => {
+                self.drains.insert(vm);
+            }
+            Record::Vm(vm) => {
+                self.vms.insert(vm.announcement.vm.clone(), Arc::from(vm));
+            }
+        }
+    }
+
+    fn set_customer(&mut self, customer: lists::Customer) {
+        self.forget_keys(&customer.name);
+        for digest in &customer.key_digests {
+            self.keys.insert(*digest, customer.name.clone());
+        }
+        self.customers
+            .insert(customer.name.clone(), Arc::new(customer));
+    }
+
+    fn remove(&mut self, key: &Key) {
+        match key {
+            Key::Customer(name) => {
+                self.forget_keys(name);
+                self.customers.remove(name);
+            }
+            Key::Plan(name) => {
+                self.plans.remove(name);
+            }
+            Key::Rollout(text) => {
+                if let Some(id) = artifact::Id::parse(text) {
+                    self.rollouts.remove(&id);
+                }
+            }
+            Key::ZoneOut(zone) => {
+                self.zones_out.remove(zone);
+            }
+            Key::Drain(vm) => {
+                self.drains.remove(vm);
+            }
+            Key::Vm(vm) => {
+                self.vms.remove(vm);
+            }
+        }
+    }
+
+    fn forget_keys(&mut self, name: &name::Customer) {
+        let Some(old) = self.customers.get(name) else {
+            return;
+        };
+        for digest in &old.key_digests {
+            // A key may have moved to another customer in the same batch.
+            if self.keys.get(digest) == Some(name) {
+                self.keys.remove(digest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,7 @@
+//! Logs and metrics of the daemons.
+//!
+//! See `docs/OPERATIONS.md`, "Logs" and "Metrics".
+
+pub mod labels;
+pub mod log;
+pub mod metrics;
