Start whole fleets on loopback and judge answers in the bench

Cause: process-level tests, the demo and the measurements all need the same fleet and the same caller.

Change: bench::fleet (layout, plan, processes with kill, freeze, thaw, terminate, restart; gypsumctl as operators run it), bench::load (a caller that demands whole answers, tallies).

Conclusion: ready for the first daemons.

--- a/crates/bench/src/error.rs
+++ b/crates/bench/src/error.rs
@@ -27,3 +27,17 @@
         detail: String,
     },
 }
+
+impl Error {
+    /// Wraps what a step reported.
+    pub fn step<E>(step: impl Into<String>) -> impl FnOnce(E) -> Self
+    where
+        E: std::error::Error + Send + Sync + 'static,
+    {
+        let step = step.into();
+        move |source| Self::Step {
+            step,
+            source: Box::new(source),
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,3 +2,5 @@
 
 pub mod cmd;
 pub mod error;
+pub mod fleet;
+pub mod load;
--- /dev/null
+++ b/crates/bench/src/load/mod.rs
@@ -0,0 +1,4 @@
+//! Callers of the bench: they send calls and check every answer.
+
+pub mod client;
+pub mod tally;
