Decide edits, the ledger, membership, feed changes and rollout waves as plain state machines

Control had the messages but nothing that decided. Each decision is now a state machine in the policy package that takes its time and its input as values: the replicated state (compare-and-set on the revision, one answer for each edit id, whole-or-nothing checks), the ledger, sessions of VMs, the changes that a subscriber lacks, and the moves of a rollout.

Two fields were added to commands, because replicas with other settings or another view of the VMs would otherwise come to other states: objections travel with an edit, and the size of the ledger with each write.

--- a/crates/domain/src/command.rs
+++ b/crates/domain/src/command.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{artifact, edit, ledger, rollout::Stage};
+use crate::{artifact, edit, ledger, rollout::Stage, violation::Violation};
 
 /// One command. All replicas apply the same ones in the same order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -13,6 +13,9 @@
         edit: edit::Edit,
         /// Pins of artifacts that the edit names for the first time.
         pins: edit::Pins,
+        /// What speaks against the edit by the replica's view of the origin and of the VMs. They
+        /// are committed with it, so that a resend gets the same refusal.
+        objections: Vec<Violation>,
         /// When the leader took it, in milliseconds since the Unix epoch.
         at_ms: u64,
     },
@@ -20,6 +23,9 @@
     Ledger {
         /// The write.
         write: ledger::Write,
+        /// How many entries the ledger may hold. It travels with the command, so that replicas
+        /// with different settings still agree.
+        max_entries: u64,
         /// When the leader took it, in milliseconds since the Unix epoch.
         at_ms: u64,
     },
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,4 +5,9 @@
 //! So the same code runs in the daemons, in tests and in the bench. See `docs/ARCHITECTURE.md`.
 
 pub mod age;
+pub mod changes;
+pub mod ledger;
+pub mod membership;
+pub mod rollout;
+pub mod state;
 pub mod view;
--- /dev/null
+++ b/crates/policy/src/membership.rs
@@ -0,0 +1,298 @@
+//! Which VMs are there: sessions of agents, kept by one replica each and told to the others.
+//!
+//! This is soft state: it isn't logged, and a fresh replica learns it from agents and from the
+//! other replicas. See `docs/ARCHITECTURE.md`, "Membership".
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use domain::{
+    clock::Instant,
+    name,
+    record::{Batch, Delta, Key, Record},
+    vm::{Announcement, Lifecycle, Status, Vm},
+};
+use snafu::Snafu;
+
+/// A gap between two ticks beyond this one means that this replica itself stood still.
+pub const MAX_TICK_GAP: Duration = Duration::from_secs(1);
+
+/// How long sessions and the knowledge of other replicas last.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// How long the session of a silent VM lasts.
+    pub session: Duration,
+    /// How long a fresh replica waits before it answers without having heard all others.
+    pub start_grace: Duration,
+    /// How long agents have to announce themselves to a fresh replica before its own sessions
+    /// count as complete.
+    pub warm_up: Duration,
+}
+
+impl Limits {
+    /// Limits that follow from the length of a session.
+    pub fn new(session: Duration) -> Self {
+        Self {
+            session,
+            start_grace: session,
+            warm_up: session * 2 / 3,
+        }
+    }
+}
+
+/// An announcement was not taken.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum Refusal {
+    /// A later start of the agent has announced itself.
+    #[snafu(display("incarnation {offered} of {vm} is older than {known}"))]
+    Old {
+        /// The VM.
+        vm: name::Vm,
+        /// The incarnation that announced itself.
+        offered: u64,
+        /// The newest one known.
+        known: u64,
+    },
+    /// This start of the agent has said that it leaves.
+    #[snafu(display("incarnation {offered} of {vm} has left"))]
+    Left {
+        /// The VM.
+        vm: name::Vm,
+        /// The incarnation that announced itself.
+        offered: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Session {
+    vm: Vm,
+    heard_at: Instant,
+    /// The order of changes over all sources; the newest one holds when incarnations are equal.
+    touched: u64,
+}
+
+/// What another replica told of its sessions.
+#[derive(Debug, Default)]
+struct Peer {
+    sessions: BTreeMap<name::Vm, Session>,
+    heard_at: Option<Instant>,
+}
+
+/// The VMs that this replica and the others know of.
+#[derive(Debug)]
+pub struct Table {
+    limits: Limits,
+    started_at: Instant,
+    ticked_at: Instant,
+    touches: u64,
+    own: BTreeMap<name::Vm, Session>,
+    peers: BTreeMap<SocketAddr, Peer>,
+}
+
+impl Table {
+    /// A table of a replica that starts now.
+    pub fn new(limits: Limits, now: Instant) -> Self {
+        Self {
+            limits,
+            started_at: now,
+            ticked_at: now,
+            touches: 0,
+            own: BTreeMap::new(),
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Opens or renews a session.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if a later start of the agent is known, or if this one has left.
+    pub fn announce(
+        &mut self,
+        now: Instant,
+        announcement: Announcement,
+        status: Status,
+    ) -> Result<(), Refusal> {
+        let vm = announcement.vm.clone();
+        let offered = announcement.incarnation;
+        match self.newest(&vm) {
+            Some(known) if known.announcement.incarnation > offered => {
+                let known = known.announcement.incarnation;
+                return OldSnafu { vm, offered, known }.fail();
+            }
+            Some(known)
+                if known.announcement.incarnation == offered
+                    && known.status.lifecycle == Lifecycle::Gone
+                    && status.lifecycle != Lifecycle::Gone =>
+            {
+                return LeftSnafu { vm, offered }.fail();
+            }
+            _ => {}
+        }
+        let vm_now = Vm {
+            announcement,
+            status,
+        };
+        let touched = self.touch();
+        let touched = match self.own.get(&vm) {
+            Some(session) if session.vm == vm_now => session.touched,
+            _ => touched,
+        };
+        let session = Session {
+            vm: vm_now,
+            heard_at: now,
+            touched,
+        };
+        self.own.insert(vm, session);
+        Ok(())
+    }
+
+    /// Keeps a session alive, and says whether it is known.
+    pub fn heartbeat(&mut self, now: Instant, vm: &name::Vm, incarnation: u64) -> bool {
+        let is_newest = self
+            .newest(vm)
+            .is_some_and(|newest| newest.announcement.incarnation == incarnation);
+        match self.own.get_mut(vm) {
+            Some(session) if is_newest && session.vm.announcement.incarnation == incarnation => {
+                session.heard_at = now;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Ends a session. It stays as gone until it expires, so that a copy of it at another replica
+    /// can't bring it back.
+    pub fn leave(&mut self, now: Instant, vm: &name::Vm, incarnation: u64) {
+        let touched = self.touch();
+        let known = self
+            .newest(vm)
+            .filter(|known| known.announcement.incarnation == incarnation);
+        let Some(mut gone) = known.cloned() else {
+            return;
+        };
+        gone.status.lifecycle = Lifecycle::Gone;
+        let session = Session {
+            vm: gone,
+            heard_at: now,
+            touched,
+        };
+        self.own.insert(vm.clone(), session);
+    }
+
+    /// Takes what another replica tells of its sessions.
+    pub fn merge(&mut self, now: Instant, from: SocketAddr, batch: Batch) {
+        let mut peer = self.peers.remove(&from).unwrap_or_default();
+        let old = match batch.is_snapshot {
+            true => std::mem::take(&mut peer.sessions),
+            false => BTreeMap::new(),
+        };
+        for delta in batch.deltas {
+            match delta {
+                Delta::Set(Record::Vm(vm)) => {
+                    let name = vm.announcement.vm.clone();
+                    let touched = match old.get(&name) {
+                        Some(session) if session.vm == *vm => session.touched,
+                        _ => self.touch(),
+                    };
+                    let session = Session {
+                        vm: *vm,
+                        heard_at: now,
+                        touched,
+                    };
+                    peer.sessions.insert(name, session);
+                }
+                Delta::Remove(Key::Vm(name)) => {
+                    peer.sessions.remove(&name);
+                }
+                // Other records come from the replicated log only.
+                Delta::Set(_) | Delta::Remove(_) => {}
+            }
+        }
+        peer.heard_at = Some(now);
+        self.peers.insert(from, peer);
+    }
+
+    /// Ends the sessions of silent VMs, and forgets what silent replicas told.
+    pub fn tick(&mut self, now: Instant) {
+        let gap = now.since(self.ticked_at);
+        self.ticked_at = now;
+        if gap > MAX_TICK_GAP {
+            self.forgive(now);
+        }
+        let session = self.limits.session;
+        self.own
+            .retain(|_, held| now.since(held.heard_at) <= session);
+        // Its agents need time to move to another replica before their VMs are forgotten.
+        let patience = session * 2;
+        for peer in self.peers.values_mut() {
+            if peer.heard_at.is_some_and(|at| now.since(at) > patience) {
+                peer.sessions.clear();
+            }
+        }
+    }
+
+    /// Whether the table is complete enough to be shown to entries. Before that, an answer could
+    /// take upstreams from them that merely have not announced themselves here.
+    pub fn is_ready(&self, now: Instant, replicas: &[SocketAddr]) -> bool {
+        let uptime = now.since(self.started_at);
+        let has_all = replicas.iter().all(|replica| {
+            self.peers
+                .get(replica)
+                .is_some_and(|p| p.heard_at.is_some())
+        });
+        uptime >= self.limits.start_grace || (!replicas.is_empty() && has_all)
+    }
+
+    /// Whether agents had time to announce themselves here, so that the others may rely on it.
+    pub fn is_warm(&self, now: Instant) -> bool {
+        now.since(self.started_at) >= self.limits.warm_up
+    }
+
+    /// The VMs whose sessions this replica keeps, those that left among them.
+    pub fn own(&self) -> impl Iterator<Item = &Vm> {
+        self.own.values().map(|session| &session.vm)
+    }
+
+    /// Every VM known to any replica, without those that left.
+    pub fn all(&self) -> Vec<&Vm> {
+        let names: BTreeSet<&name::Vm> = self
+            .own
+            .keys()
+            .chain(self.peers.values().flat_map(|peer| peer.sessions.keys()))
+            .collect();
+        names
+            .into_iter()
+            .filter_map(|name| self.newest(name))
+            .filter(|vm| vm.status.lifecycle != Lifecycle::Gone)
+            .collect()
+    }
+
+    /// The VM of the given name, if any replica knows it.
+    pub fn newest(&self, name: &name::Vm) -> Option<&Vm> {
+        let own = self.own.get(name);
+        let others = self.peers.values().filter_map(|p| p.sessions.get(name));
+        own.into_iter()
+            .chain(others)
+            .max_by_key(|session| (session.vm.announcement.incarnation, session.touched))
+            .map(|session| &session.vm)
+    }
+
+    /// Nobody could be heard while this replica stood still; everyone gets a new term.
+    fn forgive(&mut self, now: Instant) {
+        for session in self.own.values_mut() {
+            session.heard_at = now;
+        }
+        for peer in self.peers.values_mut() {
+            peer.heard_at = peer.heard_at.map(|_| now);
+        }
+    }
+
+    fn touch(&mut self) -> u64 {
+        self.touches += 1;
+        self.touches
+    }
+}
--- /dev/null
+++ b/crates/policy/src/state.rs
@@ -0,0 +1,350 @@
+//! The replicated state: what all replicas make of the same commands in the same order.
+//!
+//! Nothing here depends on settings, clocks or the order of a hash table, so replicas can't
+//! disagree. See `docs/ARCHITECTURE.md`, "Replicated state".
+
+mod check;
+mod diff;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+};
+
+use domain::{
+    artifact,
+    command::{Command, Reply},
+    digest::Digest,
+    edit::{Answer, Change, Edit, Event, Pins, Revision},
+    lists::Lists,
+    name,
+    order::Fence,
+    record::{Delta, Key, Record},
+    rollout::{Rollout, Stage},
+    violation::Violation,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::ledger::Ledger;
+
+/// Lines of the history beyond this many are forgotten, the oldest first.
+pub const MAX_HISTORY: usize = 10_000;
+
+/// What a command did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Applied {
+    /// The reply, the same on every replica.
+    pub reply: Reply,
+    /// The records of the feed that changed.
+    pub deltas: Vec<Delta>,
+}
+
+/// The answer that an edit id got.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Answered {
+    content: Digest,
+    answer: Answer,
+    at_ms: u64,
+}
+
+/// The whole replicated state.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    revision: Revision,
+    /// The id of the edit that made the revision.
+    winner: Option<Arc<str>>,
+    lists: Lists,
+    zones_out: BTreeSet<name::AvailabilityZone>,
+    drains: BTreeSet<name::Vm>,
+    rollouts: BTreeMap<artifact::Id, Rollout>,
+    ledger: Ledger,
+    answers: BTreeMap<Arc<str>, Answered>,
+    history: VecDeque<Event>,
+}
+
+impl State {
+    /// The state before the first command.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The number of the last accepted edit.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// The lists in force.
+    pub fn lists(&self) -> &Lists {
+        &self.lists
+    }
+
+    /// The availability zones that are out of service.
+    pub fn zones_out(&self) -> &BTreeSet<name::AvailabilityZone> {
+        &self.zones_out
+    }
+
+    /// The VMs that an operator drains.
+    pub fn drains(&self) -> &BTreeSet<name::Vm> {
+        &self.drains
+    }
+
+    /// The rollouts by version.
+    pub fn rollouts(&self) -> &BTreeMap<artifact::Id, Rollout> {
+        &self.rollouts
+    }
+
+    /// The ledger of calls that may not be repeated.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Accepted edits, the newest last.
+    pub fn history(&self) -> impl DoubleEndedIterator<Item = &Event> {
+        self.history.iter()
+    }
+
+    /// The answer that this edit already got, if it was sent before.
+    pub fn answer(&self, edit: &Edit) -> Option<Answer> {
+        let answered = self.answers.get(&edit.id)?;
+        match answered.content == content(edit) {
+            true => Some(answered.answer.clone()),
+            false => Some(Answer::Refused {
+                violations: vec![Violation::new(
+                    "$.id",
+                    format!("edit id {} was used for another edit", edit.id),
+                )],
+            }),
+        }
+    }
+
+    /// Everything that is wrong with an edit by the state alone.
+    pub fn violations(&self, edit: &Edit) -> Vec<Violation> {
+        check::violations(self, edit)
+    }
+
+    /// Every record of the feed that follows from this state.
+    pub fn records(&self) -> Vec<Record> {
+        diff::records(self)
+    }
+
+    /// Applies one command. The same commands make the same state on every replica.
+    pub fn apply(&mut self, term: u64, index: u64, command: Command) -> Applied {
+        let fence = Fence { term, index };
+        match command {
+            Command::Edit {
+                edit,
+                pins,
+                objections,
+                at_ms,
+            } => self.edit(fence, &edit, &pins, objections, at_ms),
+            Command::Ledger {
+                write,
+                max_entries,
+                at_ms,
+            } => Applied {
+                reply: Reply::Ledger(self.ledger.apply(write, max_entries, at_ms)),
+                deltas: Vec::new(),
+            },
+            Command::Advance { artifact, from, to } => Applied {
+                reply: Reply::Done,
+                deltas: self.advance(fence, &artifact, &from, to),
+            },
+            Command::Expire { before_ms } => {
+                self.ledger.expire(before_ms);
+                self.answers
+                    .retain(|_, answered| answered.at_ms >= before_ms);
+                Applied {
+                    reply: Reply::Done,
+                    deltas: Vec::new(),
+                }
+            }
+        }
+    }
+
+    fn edit(
+        &mut self,
+        fence: Fence,
+        edit: &Edit,
+        pins: &Pins,
+        objections: Vec<Violation>,
+        at_ms: u64,
+    ) -> Applied {
+        if let Some(answer) = self.answer(edit) {
+            return Applied {
+                reply: Reply::Edit(answer),
+                deltas: Vec::new(),
+            };
+        }
+        let (answer, deltas) = self.decide(fence, edit, pins, objections, at_ms);
+        let answered = Answered {
+            content: content(edit),
+            answer: answer.clone(),
+            at_ms,
+        };
+        self.answers.insert(edit.id.clone(), answered);
+        Applied {
+            reply: Reply::Edit(answer),
+            deltas,
+        }
+    }
+
+    fn decide(
+        &mut self,
+        fence: Fence,
+        edit: &Edit,
+        pins: &Pins,
+        objections: Vec<Violation>,
+        at_ms: u64,
+    ) -> (Answer, Vec<Delta>) {
+        if edit.base.is_some_and(|base| base != self.revision) {
+            let conflict = Answer::Conflict {
+                revision: self.revision,
+                winner: self.winner.clone().unwrap_or_default(),
+            };
+            return (conflict, Vec::new());
+        }
+        let mut violations = check::violations(self, edit);
+        violations.extend(objections);
+        violations.extend(check::missing_pins(self, edit, pins));
+        if !violations.is_empty() {
+            return (Answer::Refused { violations }, Vec::new());
+        }
+        let deltas = self.change(fence, &edit.change, pins);
+        self.revision = Revision(self.revision.0 + 1);
+        self.winner = Some(edit.id.clone());
+        self.record(edit, at_ms);
+        let accepted = Answer::Accepted {
+            revision: self.revision,
+        };
+        (accepted, deltas)
+    }
+
+    fn change(&mut self, fence: Fence, change: &Change, pins: &Pins) -> Vec<Delta> {
+        match change {
+            Change::Lists(lists) => self.replace_lists(fence, lists, pins),
+            Change::Zone { zone, in_service } => {
+                match in_service {
+                    true => self.zones_out.remove(zone),
+                    false => self.zones_out.insert(zone.clone()),
+                };
+                vec![match in_service {
+                    true => Delta::Remove(Key::ZoneOut(zone.clone())),
+                    false => Delta::Set(Record::ZoneOut(zone.clone())),
+                }]
+            }
+            Change::Drain { vm, is_draining } => {
+                match is_draining {
+                    true => self.drains.insert(vm.clone()),
+                    false => self.drains.remove(vm),
+                };
+                vec![match is_draining {
+                    true => Delta::Set(Record::Drain(vm.clone())),
+                    false => Delta::Remove(Key::Drain(vm.clone())),
+                }]
+            }
+            Change::Resume { artifact } => self.resume(fence, artifact),
+        }
+    }
+
+    fn replace_lists(&mut self, fence: Fence, lists: &Lists, pins: &Pins) -> Vec<Delta> {
+        let old = std::mem::replace(&mut self.lists, lists.clone());
+        let mut deltas = diff::lists(&old, lists);
+        let listed = lists.artifacts();
+        let unlisted: Vec<_> = self
+            .rollouts
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect();
+        for id in unlisted {
+            self.rollouts.remove(&id);
+            deltas.push(Delta::Remove(Key::Rollout(id.to_string().into())));
+        }
+        for id in listed {
+            let Some(pin) = pins.get(&id.to_string()) else {
+                continue;
+            };
+            self.rollouts.entry(id.clone()).or_insert_with(|| {
+                let rollout = Rollout {
+                    artifact: id,
+                    pin: *pin,
+                    stage: Stage::Prefetch,
+                    fence,
+                };
+                deltas.push(Delta::Set(Record::Rollout(rollout.clone())));
+                rollout
+            });
+        }
+        deltas
+    }
+
+    fn resume(&mut self, fence: Fence, artifact: &artifact::Id) -> Vec<Delta> {
+        let stage = self.rollouts.get(artifact).map(|rollout| &rollout.stage);
+        let Some(halted @ Stage::Halted { width, .. }) = stage.cloned() else {
+            return Vec::new();
+        };
+        let to = match width {
+            0 => Stage::Prefetch,
+            width => Stage::Wave { width },
+        };
+        self.advance(fence, artifact, &halted, to)
+    }
+
+    fn advance(
+        &mut self,
+        fence: Fence,
+        artifact: &artifact::Id,
+        from: &Stage,
+        to: Stage,
+    ) -> Vec<Delta> {
+        match self.rollouts.get_mut(artifact) {
+            Some(rollout) if rollout.stage == *from => {
+                rollout.stage = to;
+                rollout.fence = fence;
+                vec![Delta::Set(Record::Rollout(rollout.clone()))]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn record(&mut self, edit: &Edit, at_ms: u64) {
+        if self.history.len() >= MAX_HISTORY {
+            self.history.pop_front();
+        }
+        self.history.push_back(Event {
+            revision: self.revision,
+            id: edit.id.clone(),
+            author: edit.author.clone(),
+            at_ms,
+            summary: summary(&edit.change),
+        });
+    }
+}
+
+/// What an edit asks for, without its id and author, so that a reused id is noticed.
+fn content(edit: &Edit) -> Digest {
+    let content = (&edit.base, &edit.change, edit.allow_outage);
+    // Coding into memory fails for no value of these types.
+    Digest::of(&rmp_serde::to_vec(&content).unwrap_or_default())
+}
+
+fn summary(change: &Change) -> String {
+    match change {
+        Change::Lists(lists) => format!(
+            "lists: {} customers, {} plans",
+            lists.customers.len(),
+            lists.plans.len()
+        ),
+        Change::Zone {
+            zone,
+            in_service: true,
+        } => format!("zone {zone} in service"),
+        Change::Zone { zone, .. } => format!("zone {zone} out of service"),
+        Change::Drain {
+            vm,
+            is_draining: true,
+        } => format!("upstream {vm} draining"),
+        Change::Drain { vm, .. } => format!("upstream {vm} returned"),
+        Change::Resume { artifact } => format!("rollout {artifact} resumed"),
+    }
+}
