Run control as a daemon: feed, sessions, edits, rollouts, operators' interface and gypsumctl

Control's decisions had no process around them. The daemon keeps every table on one thread with the sessions of the wire; HTTP for operators and the status page run on threads of their own and hand work over by a channel, so no table needs a lock. A replica whose state no quorum confirmed for 2 s, or that does not know the other replicas' VMs yet, refuses polls and announcements: its subscribers go on to the next replica instead of acting on old or partial state.

The log is a single replica in memory until the replicated one is in; it stays for tests of the parts above it.

--- /dev/null
+++ b/crates/control/src/core.rs
@@ -0,0 +1,232 @@
+//! What one replica knows: the replicated state, the VMs, and the feeds made of both.
+//!
+//! It lives on one thread. No borrow is held across a wait.
+
+use std::{
+    cell::{OnceCell, Ref, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use domain::{
+    clock::{Clock, Instant},
+    command::{Command, Reply},
+    name,
+    record::{Batch, Cursor, Delta, Key, Record},
+};
+use peer::control::Scope;
+use policy::{
+    changes::{Since, for_agent, for_entry},
+    membership::{Limits, Table},
+    state::State,
+};
+use settings::control::Control;
+use slog::Logger;
+
+use crate::{
+    lane::Lane,
+    log::{self, Log},
+    metrics::Metrics,
+    util::as_millis_up,
+};
+
+/// State older than this isn't handed out: the subscriber may reach a replica that knows more.
+pub const MAX_SERVED_AGE: Duration = Duration::from_secs(2);
+
+/// The shared tables of one replica.
+pub struct Core {
+    /// The settings of the daemon.
+    pub settings: Control,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The logger of the daemon.
+    pub logger: Logger,
+    /// The instruments of the daemon.
+    pub metrics: Metrics,
+    /// Changes of the VMs whose sessions this replica keeps, for the other replicas.
+    pub own: Lane,
+    entries: Lane,
+    agents: Lane,
+    state: RefCell<State>,
+    applied: RefCell<u64>,
+    table: RefCell<Table>,
+    log: OnceCell<Rc<dyn Log>>,
+}
+
+impl Core {
+    /// The tables of a replica that starts now.
+    pub fn new(
+        settings: Control,
+        clock: Arc<dyn Clock>,
+        logger: Logger,
+        metrics: Metrics,
+    ) -> Rc<Self> {
+        let limits = Limits::new(Duration::from_millis(settings.session_ms));
+        let table = Table::new(limits, clock.now());
+        Rc::new(Self {
+            settings,
+            clock,
+            logger,
+            metrics,
+            own: Lane::new(),
+            entries: Lane::new(),
+            agents: Lane::new(),
+            state: RefCell::default(),
+            applied: RefCell::default(),
+            table: RefCell::new(table),
+            log: OnceCell::new(),
+        })
+    }
+
+    /// Binds the replicated log. Only the first call counts.
+    pub fn bind(&self, log: Rc<dyn Log>) {
+        // The daemon binds it once, right after both exist.
+        let _ = self.log.set(log);
+    }
+
+    /// The replicated log, once it is bound.
+    pub fn log(&self) -> Option<Rc<dyn Log>> {
+        self.log.get().cloned()
+    }
+
+    /// The replicated state as it is applied here.
+    pub fn state(&self) -> Ref<'_, State> {
+        self.state.borrow()
+    }
+
+    /// The VMs as they are known here.
+    pub fn table(&self) -> Ref<'_, Table> {
+        self.table.borrow()
+    }
+
+    /// Applies one committed command.
+    pub fn apply(&self, term: u64, index: u64, command: Command) -> Reply {
+        let applied = self.state.borrow_mut().apply(term, index, command);
+        self.applied.replace(index);
+        self.entries.apply(applied.deltas.iter().cloned());
+        self.agents.apply(applied.deltas);
+        applied.reply
+    }
+
+    /// Replaces the replicated state by that of a snapshot.
+    pub fn restore(&self, index: u64, state: State) {
+        let records = state.records();
+        self.state.replace(state);
+        self.applied.replace(index);
+        let is_committed = |key: &Key| !matches!(key, Key::Vm(_));
+        self.entries.replace(records.clone(), is_committed);
+        self.agents.replace(records, is_committed);
+    }
+
+    /// Changes the table of VMs, and tells the feeds.
+    pub fn with_table<T>(&self, change: impl FnOnce(&mut Table, Instant) -> T) -> T {
+        let now = self.clock.now();
+        let mut table = self.table.borrow_mut();
+        let result = change(&mut table, now);
+        let dirty = table.take_dirty();
+        for name in dirty {
+            let alive = table.alive(&name);
+            let delta = |record: Option<_>| match record {
+                Some(vm) => Delta::Set(Record::Vm(Box::new(vm))),
+                None => Delta::Remove(Key::Vm(name.clone())),
+            };
+            self.entries.apply([delta(alive.map(for_entry))]);
+            self.agents.apply([delta(alive.map(for_agent))]);
+            self.own.apply([delta(table.own(&name).cloned())]);
+        }
+        result
+    }
+
+    /// Submits a command and measures how long the reply took.
+    pub async fn submit(&self, command: Command) -> Result<Reply, log::Error> {
+        let class = match &command {
+            Command::Edit { .. } => "edit",
+            Command::Ledger { .. } => "ledger",
+            Command::Advance { .. } => "advance",
+            Command::Expire { .. } => "expire",
+        };
+        let log = self.log().ok_or(log::Error::NotFormed)?;
+        let begin = self.clock.now();
+        let reply = log.submit(command).await;
+        let took = self.clock.now().since(begin);
+        self.metrics.submitted(class, took, reply.is_ok());
+        reply
+    }
+
+    /// An upper bound on the age of the replicated state here.
+    pub fn age(&self) -> Option<Duration> {
+        self.log().and_then(|log| log.age())
+    }
+
+    /// Why the replicated state here is too old to be handed out, if it is.
+    pub fn staleness(&self) -> Option<String> {
+        match self.age() {
+            None => Some("no quorum has confirmed the state".to_owned()),
+            Some(age) if age > MAX_SERVED_AGE => {
+                let millis = age.as_millis();
+                Some(format!("no quorum has confirmed the state for {millis} ms"))
+            }
+            Some(_) => None,
+        }
+    }
+
+    /// Everything that keeps this replica from serving its feed.
+    pub fn obstacles(&self) -> Vec<String> {
+        let is_ready = self.is_table_ready();
+        let table =
+            (!is_ready).then(|| "the VMs of the other replicas are not known yet".to_owned());
+        self.staleness().into_iter().chain(table).collect()
+    }
+
+    /// Whether the table of VMs is complete enough to act on.
+    pub fn is_table_ready(&self) -> bool {
+        let peers = self.log().map(|log| log.peers()).unwrap_or_default();
+        self.table.borrow().is_ready(self.clock.now(), &peers)
+    }
+
+    /// The feed of the given scope.
+    pub fn lane(&self, scope: Scope) -> &Lane {
+        match scope {
+            Scope::Entry => &self.entries,
+            Scope::Agent => &self.agents,
+        }
+    }
+
+    /// What a subscriber lacks, with the age that holds at this moment.
+    pub fn batch(&self, scope: Scope, cursor: Cursor) -> Batch {
+        let age = self.age().map_or(u64::MAX, as_millis_up);
+        self.seal(self.lane(scope).since(cursor), age)
+    }
+
+    /// What another replica lacks of this one's sessions.
+    pub fn own_batch(&self, cursor: Cursor) -> Batch {
+        self.seal(self.own.since(cursor), 0)
+    }
+
+    /// How many VMs are known.
+    pub fn vm_count(&self) -> usize {
+        self.table.borrow().all().len()
+    }
+
+    /// The last applied command of the log.
+    pub fn applied(&self) -> u64 {
+        *self.applied.borrow()
+    }
+
+    /// The name of this VM.
+    pub fn vm(&self) -> &name::Vm {
+        &self.settings.place.vm
+    }
+
+    fn seal(&self, since: Since, age_ms: u64) -> Batch {
+        Batch {
+            is_snapshot: since.is_snapshot,
+            deltas: since.deltas,
+            revision: self.state.borrow().revision(),
+            commit: self.applied(),
+            cursor: since.cursor,
+            age_ms,
+        }
+    }
+}
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -1,3 +1,14 @@
-//! `gypsum-control`.
+//! `gypsum-control`: parses, runs, prints the error once.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = control::args::command().get_matches();
+    match control::cmd::run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("gypsum-control: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,3 +1,14 @@
-//! `gypsumctl`.
+//! `gypsumctl`: parses, runs, prints the error once.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = ctl::args::command().get_matches();
+    match ctl::cmd::run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("gypsumctl: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -90,6 +90,7 @@
     touches: u64,
     own: BTreeMap<name::Vm, Session>,
     peers: BTreeMap<SocketAddr, Peer>,
+    dirty: BTreeSet<name::Vm>,
 }
 
 impl Table {
@@ -102,6 +103,7 @@
             touches: 0,
             own: BTreeMap::new(),
             peers: BTreeMap::new(),
+            dirty: BTreeSet::new(),
         }
     }
 
@@ -146,6 +148,7 @@
             heard_at: now,
             touched,
         };
+        self.dirty.insert(vm.clone());
         self.own.insert(vm, session);
         Ok(())
     }
@@ -180,6 +183,7 @@
             heard_at: now,
             touched,
         };
+        self.dirty.insert(vm.clone());
         self.own.insert(vm.clone(), session);
     }
 
@@ -190,6 +194,7 @@
             true => std::mem::take(&mut peer.sessions),
             false => BTreeMap::new(),
         };
+        self.dirty.extend(old.keys().cloned());
         for delta in batch.deltas {
             match delta {
                 Delta::Set(Record::Vm(vm)) => {
@@ -203,10 +208,12 @@
                         heard_at: now,
                         touched,
                     };
+                    self.dirty.insert(name.clone());
                     peer.sessions.insert(name, session);
                 }
                 Delta::Remove(Key::Vm(name)) => {
                     peer.sessions.remove(&name);
+                    self.dirty.insert(name);
                 }
                 // Other records come from the replicated log only.
                 Delta::Set(_) | Delta::Remove(_) => {}
@@ -224,13 +231,19 @@
             self.forgive(now);
         }
         let session = self.limits.session;
-        self.own
-            .retain(|_, held| now.since(held.heard_at) <= session);
+        let dirty = &mut self.dirty;
+        self.own.retain(|name, held| {
+            let is_alive = now.since(held.heard_at) <= session;
+            if !is_alive {
+                dirty.insert(name.clone());
+            }
+            is_alive
+        });
         // Its agents need time to move to another replica before their VMs are forgotten.
         let patience = session * 2;
         for peer in self.peers.values_mut() {
             if peer.heard_at.is_some_and(|at| now.since(at) > patience) {
-                peer.sessions.clear();
+                dirty.extend(std::mem::take(&mut peer.sessions).into_keys());
             }
         }
     }
@@ -252,9 +265,14 @@
         now.since(self.started_at) >= self.limits.warm_up
     }
 
-    /// The VMs whose sessions this replica keeps, those that left among them.
-    pub fn own(&self) -> impl Iterator<Item = &Vm> {
-        self.own.values().map(|session| &session.vm)
+    /// The VM of the given name if this replica keeps its session, also after it left.
+    pub fn own(&self, name: &name::Vm) -> Option<&Vm> {
+        self.own.get(name).map(|session| &session.vm)
+    }
+
+    /// The names of VMs of which something changed since the last call.
+    pub fn take_dirty(&mut self) -> BTreeSet<name::Vm> {
+        std::mem::take(&mut self.dirty)
     }
 
     /// Every VM known to any replica, without those that left.
@@ -266,11 +284,16 @@
             .collect();
         names
             .into_iter()
-            .filter_map(|name| self.newest(name))
-            .filter(|vm| vm.status.lifecycle != Lifecycle::Gone)
+            .filter_map(|name| self.alive(name))
             .collect()
     }
 
+    /// The VM of the given name, if any replica knows it and it has not left.
+    pub fn alive(&self, name: &name::Vm) -> Option<&Vm> {
+        self.newest(name)
+            .filter(|vm| vm.status.lifecycle != Lifecycle::Gone)
+    }
+
     /// The VM of the given name, if any replica knows it.
     pub fn newest(&self, name: &name::Vm) -> Option<&Vm> {
         let own = self.own.get(name);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -205,7 +205,10 @@
         }
         let mut violations = check::violations(self, edit);
         violations.extend(objections);
-        violations.extend(check::missing_pins(self, edit, pins));
+        // Without a manifest nothing can be pinned, but a reason that is known says more.
+        if violations.is_empty() {
+            violations = check::missing_pins(self, edit, pins);
+        }
         if !violations.is_empty() {
             return (Answer::Refused { violations }, Vec::new());
         }
@@ -321,9 +324,10 @@
     }
 }
 
-/// What an edit asks for, without its id and author, so that a reused id is noticed.
+/// What an edit asks for, so that a reused id is noticed. The base is left out: whoever resends
+/// after a lost answer may have read the revision again.
 fn content(edit: &Edit) -> Digest {
-    let content = (&edit.base, &edit.change, edit.allow_outage);
+    let content = (&edit.change, edit.allow_outage);
     // Coding into memory fails for no value of these types.
     Digest::of(&rmp_serde::to_vec(&content).unwrap_or_default())
 }
