--- a/crates/settings/tests/file.rs
+++ b/crates/settings/tests/file.rs
@@ -58,3 +58,15 @@
     let control = file::check::<Control>(json!({})).unwrap_err();
     assert_eq!((entry.len(), agent.len(), control.len()), (5, 8, 9));
 }
+
+#[test]
+fn the_example_files_are_valid() {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/examples");
+    for deployment in ["vaalkop", "petra"] {
+        let path = |name: &str| folder.join(deployment).join(name);
+        file::load::<Control>(&path("control.json")).unwrap();
+        file::load::<Entry>(&path("entry.json")).unwrap();
+        file::load::<Agent>(&path("agent-engine.json")).unwrap();
+        file::load::<Agent>(&path("agent-service.json")).unwrap();
+    }
+}
