--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod engine;
 pub mod origin;
+pub mod server;
 pub mod service;
