--- a/crates/bench/src/fleet/plan.rs
+++ b/crates/bench/src/fleet/plan.rs
@@ -70,6 +70,11 @@
         self.folder.join(&self.vm).join("data")
     }
 
+    /// Whether this is a plain service.
+    pub fn is_service(&self) -> bool {
+        self.program == "fake-service"
+    }
+
     /// The address of the status page.
     pub fn status_addr(&self) -> SocketAddr {
         SocketAddr::new(self.addr.ip(), STATUS_PORT)
