--- a/crates/fakes/src/bin/fake-origin.rs
+++ b/crates/fakes/src/bin/fake-origin.rs
@@ -36,8 +36,8 @@
                 .help("A version to serve; may be given several times"),
         )
         .arg(
-            Arg::new("rate")
-                .long("rate")
+            Arg::new("bytes-per-s")
+                .long("bytes-per-s")
                 .value_name("BYTES_PER_S")
                 .value_parser(value_parser!(u64).range(1..))
                 .help("The rate of all answers together"),
@@ -62,7 +62,7 @@
             .flatten()
             .cloned()
             .collect(),
-        bytes_per_s: matches.get_one("rate").copied(),
+        bytes_per_s: matches.get_one("bytes-per-s").copied(),
         is_refusing: matches.get_flag("refuse"),
     };
     tokio::runtime::Runtime::new()?.block_on(async {
