Check that tests named in the proofs exist and that links between pages lead somewhere

Cause: pages drift from the code unless a test holds them together.

Ruled out: a separate link checker; a page of Rust does it and runs with the rest.

--- /dev/null
+++ b/crates/bench/tests/pages.rs
@@ -0,0 +1,80 @@
+//! The pages: tests named in the proofs exist, and links lead somewhere.
+#![allow(clippy::unwrap_used)]
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn pages() -> Vec<PathBuf> {
+    let markdown = |folder: PathBuf| {
+        fs::read_dir(folder)
+            .unwrap()
+            .map(|entry| entry.unwrap().path())
+            .filter(|path| path.extension().is_some_and(|extension| extension == "md"))
+            .collect::<Vec<_>>()
+    };
+    [
+        markdown(root()),
+        markdown(root().join("docs")),
+        markdown(root().join("docs/examples")),
+    ]
+    .concat()
+}
+
+/// Tests are named as `package::file::function` between backticks.
+fn named_tests(page: &str) -> Vec<[&str; 3]> {
+    page.split('`')
+        .skip(1)
+        .step_by(2)
+        .filter_map(|code| {
+            let parts: Vec<&str> = code.split("::").collect();
+            let parts: [&str; 3] = parts.try_into().ok()?;
+            let is_name = |part: &&str| {
+                !part.is_empty() && part.chars().all(|c| c.is_ascii_alphanumeric() || c == '_')
+            };
+            parts.iter().all(is_name).then_some(parts)
+        })
+        .collect()
+}
+
+#[test]
+fn every_test_named_in_the_proofs_exists() {
+    let page = fs::read_to_string(root().join("docs/PROOFS.md")).unwrap();
+    let missing: Vec<String> = named_tests(&page)
+        .into_iter()
+        .filter(|[package, file, function]| {
+            let path = root().join(format!("crates/{package}/tests/{file}.rs"));
+            let text = fs::read_to_string(path).unwrap_or_default();
+            !text.contains(&format!("fn {function}("))
+        })
+        .map(|parts| parts.join("::"))
+        .collect();
+    assert!(
+        missing.is_empty(),
+        "named in docs/PROOFS.md but not there: {missing:?}"
+    );
+}
+
+#[test]
+fn every_link_between_the_pages_leads_to_a_file() {
+    let mut broken = Vec::new();
+    for path in pages() {
+        let text = fs::read_to_string(&path).unwrap();
+        let targets = text
+            .split("](")
+            .skip(1)
+            .filter_map(|rest| rest.split(')').next());
+        for target in targets.filter(|target| !target.contains("://")) {
+            let file = target.split('#').next().unwrap();
+            if !file.is_empty() && !path.parent().unwrap().join(file).exists() {
+                broken.push(format!("{}: {target}", path.display()));
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
