Measure what the feed's view costs at growing fleet sizes

Cause: docs/CAPACITY.md is to rest on slopes, and the view is the state that every entry and agent holds.

A copy that shares the records costs what is measured here.

Change: gypsum-bench capacity.

--- a/crates/bench/src/cmd/mod.rs
+++ b/crates/bench/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 
 use crate::error::Error;
 
+pub mod capacity;
 pub mod cold;
 pub mod demo;
 pub mod failover;
@@ -22,6 +23,10 @@
 }
 
 const ENTRIES: &[Entry] = &[
+    Entry {
+        command: capacity::command,
+        run: capacity::run,
+    },
     Entry {
         command: cold::command,
         run: cold::run,
