--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,4 +5,8 @@
 //! So the same code runs in the daemons, in tests and in the bench. See `docs/ARCHITECTURE.md`.
 
 pub mod age;
+pub mod owner;
+pub mod pacer;
+pub mod spool;
+pub mod swarm;
 pub mod view;
--- /dev/null
+++ b/crates/policy/src/swarm.rs
@@ -0,0 +1,17 @@
+//! The exchange of chunks between agents, as one plain state machine per agent.
+//!
+//! [`Swarm`] decides which chunk to fetch next and from whom; [`upload::Ledger`] decides whether
+//! to send one. Neither reads a clock or opens a socket. See `docs/ARCHITECTURE.md`, "Weights".
+
+pub mod bits;
+pub mod machine;
+mod pick;
+pub mod ring;
+pub mod source;
+pub mod upload;
+pub mod version;
+
+pub use bits::Bits;
+pub use machine::{Config, Fetch, Outcome, Swarm, Watch};
+pub use source::Source;
+pub use version::Offer;
--- /dev/null
+++ b/crates/policy/src/swarm/source.rs
@@ -0,0 +1,98 @@
+//! Where a chunk can come from, and how each source behaved so far.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use derive_more::Display;
+use domain::{clock::Instant, name};
+
+/// The shortest time for which a source that failed is avoided.
+const MIN_AVOIDANCE: Duration = Duration::from_secs(1);
+/// The longest time for which a source that failed is avoided.
+const MAX_AVOIDANCE: Duration = Duration::from_secs(30);
+/// The time for which a source that sent a wrong chunk is avoided.
+const CORRUPT_AVOIDANCE: Duration = Duration::from_secs(20);
+/// The longest pause that a busy source can ask for.
+const MAX_BUSY: Duration = Duration::from_secs(2);
+
+/// Where a chunk can come from.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Source {
+    /// Another agent.
+    #[display("peer {_0}")]
+    Peer(name::Vm),
+    /// The weight store.
+    #[display("weight store")]
+    Store,
+    /// The origin of weights.
+    #[display("origin")]
+    Origin,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Standing {
+    avoided_until: Instant,
+    failures: u32,
+    in_flight: usize,
+}
+
+/// How each source behaved so far.
+#[derive(Clone, Debug, Default)]
+pub struct Standings(BTreeMap<Source, Standing>);
+
+impl Standings {
+    /// Whether the source may be asked now.
+    pub fn is_usable(&self, source: &Source, now: Instant) -> bool {
+        self.0
+            .get(source)
+            .is_none_or(|standing| standing.avoided_until <= now)
+    }
+
+    /// How many fetches from the source are running.
+    pub fn in_flight(&self, source: &Source) -> usize {
+        self.0.get(source).map_or(0, |standing| standing.in_flight)
+    }
+
+    pub(crate) fn start(&mut self, source: &Source) {
+        self.0.entry(source.clone()).or_default().in_flight += 1;
+    }
+
+    pub(crate) fn end(&mut self, source: &Source) {
+        if let Some(standing) = self.0.get_mut(source) {
+            standing.in_flight = standing.in_flight.saturating_sub(1);
+        }
+    }
+
+    pub(crate) fn praise(&mut self, source: &Source) {
+        if let Some(standing) = self.0.get_mut(source) {
+            standing.failures = 0;
+        }
+    }
+
+    /// The source stalled, broke off or did not have what it offered.
+    pub(crate) fn fail(&mut self, source: &Source, now: Instant) {
+        let standing = self.0.entry(source.clone()).or_default();
+        let span = MIN_AVOIDANCE * 2u32.saturating_pow(standing.failures.min(8));
+        standing.failures += 1;
+        standing.avoided_until = standing.avoided_until.max(now + span.min(MAX_AVOIDANCE));
+    }
+
+    /// The source sent something else than the chunk.
+    pub(crate) fn distrust(&mut self, source: &Source, now: Instant) {
+        let standing = self.0.entry(source.clone()).or_default();
+        standing.failures += 1;
+        standing.avoided_until = standing.avoided_until.max(now + CORRUPT_AVOIDANCE);
+    }
+
+    /// The source asked to come back later.
+    pub(crate) fn defer(&mut self, source: &Source, retry: Duration, now: Instant) {
+        let standing = self.0.entry(source.clone()).or_default();
+        standing.avoided_until = standing.avoided_until.max(now + retry.min(MAX_BUSY));
+    }
+
+    pub(crate) fn forget(&mut self, vm: &name::Vm) {
+        let source = Source::Peer(vm.clone());
+        if self.in_flight(&source) == 0 {
+            self.0.remove(&source);
+        }
+    }
+}
