--- a/crates/policy/src/changes.rs
+++ b/crates/policy/src/changes.rs
@@ -167,6 +167,7 @@
             holdings: serving
                 .map(|(id, held)| (id.clone(), held.clone()))
                 .collect(),
+            fence: Default::default(),
             ..vm.status.clone()
         },
     }
