Name the group, the sender's address and joint members in replica messages

An empty replica that gets its first message knows neither members nor addresses, so a message carries its sender's address; and it must not be drawn into two groups, so a message carries the group. Members gain the outgoing voters, because a swap decided by one set alone is unsafe: of A, B, C -> A, B, D the majorities {B, C} and {A, D} share nobody. Admission can name the voter whose place is taken.

--- a/crates/domain/src/replica.rs
+++ b/crates/domain/src/replica.rs
@@ -2,7 +2,7 @@
 //!
 //! See `docs/ARCHITECTURE.md`, "Replicated state".
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
@@ -17,10 +17,36 @@
 /// The members of the group as one entry of the log set them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Members {
+    /// The group, or zero before one is formed. It never changes.
+    pub group: u64,
     /// Replicas that vote, with their addresses.
     pub voters: BTreeMap<Identity, SocketAddr>,
-    /// Replicas that catch up before they vote, with their addresses.
+    /// Replicas that voted before. While there are any, each decision needs a majority of these
+    /// and of the voters, so that two majorities always share a replica.
+    #[serde(default)]
+    pub outgoing: BTreeMap<Identity, SocketAddr>,
+    /// Replicas that catch up or only observe, with their addresses.
     pub learners: BTreeMap<Identity, SocketAddr>,
+    /// Learners that take a voter's place once they have caught up.
+    #[serde(default)]
+    pub swaps: BTreeMap<Identity, Identity>,
+}
+
+impl Members {
+    /// All replicas with their addresses, each once.
+    pub fn addresses(&self) -> BTreeMap<Identity, SocketAddr> {
+        let groups = [&self.learners, &self.outgoing, &self.voters];
+        groups
+            .into_iter()
+            .flatten()
+            .map(|(id, address)| (*id, *address))
+            .collect()
+    }
+
+    /// Whether the replica's vote counts.
+    pub fn is_voter(&self, identity: Identity) -> bool {
+        self.voters.contains_key(&identity) || self.outgoing.contains_key(&identity)
+    }
 }
 
 /// What an entry of the log holds.
@@ -45,11 +71,36 @@
     pub payload: Payload,
 }
 
+/// A place in the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The index of the entry, or zero for the place before the first one.
+    pub index: u64,
+    /// The entry's term.
+    pub term: u64,
+}
+
+/// The state up to an entry, in place of the entries.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The last entry that the state contains.
+    pub mark: Mark,
+    /// The members at that entry.
+    pub members: Members,
+    /// The state, as MessagePack.
+    #[serde(with = "serde_bytes")]
+    pub state: Vec<u8>,
+}
+
 /// A message from one replica to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
+    /// The sender's group. A replica of another group drops the message.
+    pub group: u64,
     /// The sender.
     pub from: Identity,
+    /// Where the sender listens: a receiver that is still empty knows no members.
+    pub address: SocketAddr,
     /// The receiver.
     pub to: Identity,
     /// The sender's term, or the term it would open for a pre-vote.
@@ -64,9 +115,7 @@
     /// Would you vote for me? Nothing is recorded.
     PreVote {
         /// The sender's last entry.
-        last_index: u64,
-        /// Its term.
-        last_term: u64,
+        last: Mark,
     },
     /// The answer to [`Body::PreVote`].
     PreVoteReply {
@@ -76,9 +125,7 @@
     /// Vote for me.
     Vote {
         /// The sender's last entry.
-        last_index: u64,
-        /// Its term.
-        last_term: u64,
+        last: Mark,
     },
     /// The answer to [`Body::Vote`].
     VoteReply {
@@ -88,9 +135,7 @@
     /// Entries, or none as a heartbeat.
     Append {
         /// The entry before the first one.
-        prev_index: u64,
-        /// Its term.
-        prev_term: u64,
+        prev: Mark,
         /// The entries.
         entries: Vec<Entry>,
         /// The leader's commit index.
@@ -109,15 +154,8 @@
     },
     /// A snapshot in place of entries that are compacted.
     Install {
-        /// The last entry that the snapshot contains.
-        index: u64,
-        /// Its term.
-        term: u64,
-        /// The members at that entry.
-        members: Members,
-        /// The state, as MessagePack.
-        #[serde(with = "serde_bytes")]
-        state: Vec<u8>,
+        /// The snapshot.
+        snapshot: Arc<Snapshot>,
         /// The heartbeat round, echoed in the answer.
         round: u64,
     },
--- a/crates/peer/schema/wire.capnp
+++ b/crates/peer/schema/wire.capnp
@@ -46,7 +46,7 @@
   confirm @2 () -> (term :UInt64, commit :UInt64, ageMs :UInt64);
   forward @3 (commandPack :Data) -> (replyPack :Data);   # command::Command, command::Reply
   vms @4 (cursor :Cursor, waitMs :UInt32) -> (batch :Batch);
-  admit @5 (identity :UInt64, address :Text) -> ();
+  admit @5 (identity :UInt64, address :Text, replaces :UInt64) -> ();   # zero: the voter at the address
 }
 
 interface Chunks {
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -48,8 +48,14 @@
     fn forward(&self, command: command::Command) -> Answer<command::Reply>;
     /// Changes of the VMs whose sessions this replica keeps.
     fn vms(&self, cursor: record::Cursor, wait: Duration) -> Answer<record::Batch>;
-    /// Asks the leader to admit a replica with a new identity at an address of the group.
-    fn admit(&self, identity: replica::Identity, address: SocketAddr) -> Answer<()>;
+    /// Asks the leader to admit a replica with a new identity, in the place of the given voter or
+    /// of the one that was at its address.
+    fn admit(
+        &self,
+        identity: replica::Identity,
+        address: SocketAddr,
+        replaces: Option<replica::Identity>,
+    ) -> Answer<()>;
 }
 
 /// Serves a [`Service`] over the wire.
@@ -131,11 +137,15 @@
         params: wire::AdmitParams,
         _: wire::AdmitResults,
     ) -> capnp::Result<()> {
-        let (identity, address) = {
+        let (identity, address, replaces) = {
             let params = params.get()?;
-            (params.get_identity(), read_address(params.get_address()?)?)
+            let replaces = Some(params.get_replaces()).filter(|id| *id != 0);
+            let address = read_address(params.get_address()?)?;
+            (params.get_identity(), address, replaces)
         };
-        self.service.admit(identity.into(), address).await
+        self.service
+            .admit(identity.into(), address, replaces.map(Into::into))
+            .await
     }
 }
 
@@ -241,8 +251,10 @@
         &self,
         identity: replica::Identity,
         address: SocketAddr,
+        replaces: Option<replica::Identity>,
     ) -> Result<(), Error> {
         let mut request = self.replica.admit_request();
+        request.get().set_replaces(replaces.map_or(0, |id| id.0));
         request.get().set_identity(identity.0);
         request.get().set_address(address.to_string().as_str());
         let answer = async { request.send().promise.await.map(|_| ()) };
--- a/crates/peer/src/wire_capnp.rs
+++ b/crates/peer/src/wire_capnp.rs
@@ -6605,11 +6605,15 @@
             pub fn has_address(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_replaces(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6683,6 +6687,14 @@
             pub fn has_address(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_replaces(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_replaces(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6694,38 +6706,45 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(83, 24, 248, 67, 215, 115, 130, 168),
-                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(119, 105, 114, 101, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 82, 101, 112, 108, 105),
                 ::capnp::word(99, 97, 46, 97, 100, 109, 105, 116),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 100, 101, 110, 116, 105, 116, 121),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -6743,11 +6762,21 @@
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 112, 108, 97, 99, 101, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6761,9 +6790,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
             pub(crate) const TYPE_ID: u64 = 0xa882_73d7_43f8_1853;
         }
     }
