Add the replicated log as a state machine without input or output

Whatever depends on the disk stays inside until the proof of the write before it comes back; only a successful save yields that proof.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,4 +5,5 @@
 //! So the same code runs in the daemons, in tests and in the bench. See `docs/ARCHITECTURE.md`.
 
 pub mod age;
+pub mod replica;
 pub mod view;
--- /dev/null
+++ b/crates/policy/src/replica/core.rs
@@ -0,0 +1,380 @@
+//! The replica: its state, its inputs and its outputs.
+
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
+
+use domain::{
+    clock::Instant,
+    replica::{Body, Entry, Identity, Mark, Message, Payload, Snapshot},
+};
+use rand::rngs::StdRng;
+
+use super::{
+    Batch, Hard, Ready, Saved, Synced, Timing, Write, log::Log, progress::Leader, roster::Roster,
+};
+
+/// Entries kept behind a snapshot, so that a follower that lags a little needs no snapshot.
+const TRAILING_ENTRIES: u64 = 256;
+
+/// Who a replica is.
+#[derive(Clone, Copy, Debug)]
+pub struct Seat {
+    /// The identity on its disk.
+    pub identity: Identity,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// The part that a replica takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks for votes.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+/// The replica does not lead, so it takes no proposals.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("this replica does not lead")]
+pub struct NotLeader {
+    /// The leader that it knows of.
+    pub leader: Option<Identity>,
+}
+
+#[derive(Debug)]
+pub(super) enum Role {
+    Follower,
+    PreCandidate { granted: BTreeSet<Identity> },
+    Candidate { granted: BTreeSet<Identity> },
+    Leader(Box<Leader>),
+}
+
+/// What the disk does not hold yet.
+#[derive(Debug, Default)]
+pub(super) struct Unsaved {
+    pub(super) hard: bool,
+    pub(super) from: Option<u64>,
+    pub(super) snapshot: bool,
+    pub(super) base: bool,
+}
+
+impl Unsaved {
+    fn is_empty(&self) -> bool {
+        !self.hard && self.from.is_none() && !self.snapshot && !self.base
+    }
+
+    pub(super) fn entries_from(&mut self, index: u64) {
+        self.from = Some(self.from.map_or(index, |from| from.min(index)));
+    }
+}
+
+/// One replica of the log.
+pub struct Replica {
+    pub(super) seat: Seat,
+    pub(super) timing: Timing,
+    pub(super) rng: StdRng,
+    pub(super) hard: Hard,
+    pub(super) log: Log,
+    pub(super) roster: Roster,
+    pub(super) snapshot: Option<Arc<Snapshot>>,
+    pub(super) commit: u64,
+    pub(super) applied: u64,
+    pub(super) persisted: u64,
+    pub(super) persisted_term: u64,
+    pub(super) role: Role,
+    pub(super) leader: Option<Identity>,
+    pub(super) heard_at: Option<Instant>,
+    pub(super) campaign_at: Instant,
+    pub(super) unsaved: Unsaved,
+    free: Vec<Message>,
+    held: Vec<Message>,
+    writing: Option<Vec<Message>>,
+}
+
+impl Replica {
+    /// A replica that goes on from what its disk holds.
+    pub fn new(seat: Seat, timing: Timing, saved: Saved, mut rng: StdRng, now: Instant) -> Self {
+        let Saved {
+            hard,
+            base,
+            snapshot,
+            entries,
+        } = saved;
+        let (index, members) = snapshot
+            .as_ref()
+            .map(|snapshot| (snapshot.mark.index, snapshot.members.clone()))
+            .unwrap_or_default();
+        let mut roster = Roster::new(index, members);
+        entries
+            .iter()
+            .filter(|entry| entry.index > index)
+            .for_each(|entry| roster.note(entry));
+        let log = Log::new(base, entries);
+        let last = log.last().index;
+        Self {
+            seat,
+            timing,
+            campaign_at: now + timing.draw(&mut rng),
+            rng,
+            hard,
+            roster,
+            snapshot,
+            commit: hard.commit.min(last).max(index),
+            applied: 0,
+            persisted: last,
+            persisted_term: hard.term,
+            log,
+            role: Role::Follower,
+            leader: None,
+            heard_at: None,
+            unsaved: Unsaved::default(),
+            free: Vec::new(),
+            held: Vec::new(),
+            writing: None,
+        }
+    }
+
+    /// Takes a message from another replica.
+    pub fn step(&mut self, now: Instant, message: Message) {
+        if message.to != self.seat.identity || !self.is_own_group(&message) {
+            return;
+        }
+        let Message {
+            group,
+            from,
+            term,
+            body,
+            ..
+        } = message;
+        match &body {
+            // A replica that hears its leader doesn't help to depose it.
+            Body::Vote { .. } if term > self.hard.term && self.has_leader(now) => return,
+            // The term of a pre-vote is one that nobody has opened yet.
+            Body::PreVote { .. } | Body::PreVoteReply { is_granted: true } => {}
+            _ if term > self.hard.term => self.follow(now, term),
+            _ if term < self.hard.term => return self.on_stale(from, &body),
+            _ => {}
+        }
+        match body {
+            Body::PreVote { last } => self.on_pre_vote(now, group, from, term, last),
+            Body::PreVoteReply { is_granted } => {
+                self.on_pre_vote_reply(now, from, term, is_granted);
+            }
+            Body::Vote { last } => self.on_vote(now, group, from, last),
+            Body::VoteReply { is_granted } => self.on_vote_reply(now, from, is_granted),
+            Body::Append {
+                prev,
+                entries,
+                commit,
+                round,
+            } => {
+                self.join(group);
+                self.on_append(now, from, prev, entries, commit, round);
+            }
+            Body::Install { snapshot, round } => {
+                self.join(group);
+                self.on_install(now, from, snapshot, round);
+            }
+            Body::AppendReply {
+                is_match,
+                index,
+                round,
+            } => self.on_append_reply(now, from, is_match, index, round),
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Instant) {
+        match &self.role {
+            Role::Leader(_) => self.lead(now),
+            _ if now >= self.campaign_at => self.campaign(now),
+            _ => {}
+        }
+    }
+
+    /// Adds a command to the log and says where it stands. It counts once [`Ready::committed`]
+    /// holds an entry with the same term there.
+    ///
+    /// # Errors
+    ///
+    /// [`NotLeader`] unless this replica leads.
+    pub fn propose(&mut self, now: Instant, command: Vec<u8>) -> Result<Mark, NotLeader> {
+        match self.role {
+            Role::Leader(_) => Ok(self.append(now, Payload::Command(command))),
+            _ => Err(NotLeader {
+                leader: self.leader,
+            }),
+        }
+    }
+
+    /// What to do now. Until [`Self::advance`] there is no second [`Write`].
+    pub fn ready(&mut self) -> Ready {
+        if self.writing.is_none() && self.unsaved.is_empty() {
+            self.free.append(&mut self.held);
+        }
+        let write = match self.writing {
+            None if !self.unsaved.is_empty() => Some(self.write()),
+            _ => None,
+        };
+        let restore = self.restore();
+        Ready {
+            write,
+            messages: std::mem::take(&mut self.free),
+            restore,
+            committed: self.take_committed(),
+        }
+    }
+
+    /// Takes the proof that the last [`Write`] is durable, and lets go of what waited for it.
+    pub fn advance(&mut self, now: Instant, Synced { last, term }: Synced) {
+        let Some(messages) = self.writing.take() else {
+            return;
+        };
+        self.free.extend(messages);
+        self.persisted_term = term;
+        // The log may have been cut meanwhile; the same place in the same term is the same entry.
+        if self.log.term_at(last.index) == Some(last.term) {
+            self.persisted = self.persisted.max(last.index);
+        }
+        if matches!(self.role, Role::Leader(_)) {
+            self.update_commit(now);
+        }
+    }
+
+    /// Puts the applied state, coded by the caller, in place of the entries that made it.
+    pub fn compact(&mut self, state: Vec<u8>) {
+        let index = self.applied;
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        self.snapshot = Some(Arc::new(Snapshot {
+            mark: Mark { index, term },
+            members: self.roster.at(index),
+            state,
+        }));
+        self.roster.compact(index);
+        self.log.compact(
+            index
+                .saturating_sub(TRAILING_ENTRIES)
+                .max(self.log.base().index),
+        );
+        self.unsaved.snapshot = true;
+        self.unsaved.base = true;
+    }
+
+    fn write(&mut self) -> Write {
+        self.writing = Some(std::mem::take(&mut self.held));
+        let unsaved = std::mem::take(&mut self.unsaved);
+        self.hard.commit = self.commit;
+        let entries = unsaved
+            .from
+            .map(|from| self.log.tail(from).cloned().collect());
+        Write {
+            last: self.log.last(),
+            batch: Batch {
+                hard: self.hard,
+                snapshot: self.snapshot.clone().filter(|_| unsaved.snapshot),
+                base: unsaved.base.then(|| self.log.base()),
+                truncate_from: unsaved.from,
+                entries: entries.unwrap_or_default(),
+            },
+        }
+    }
+
+    fn restore(&mut self) -> Option<Arc<Snapshot>> {
+        let snapshot = self.snapshot.as_ref()?;
+        let index = snapshot.mark.index;
+        if index <= self.applied || index > self.persisted {
+            return None;
+        }
+        self.applied = index;
+        Some(snapshot.clone())
+    }
+
+    fn take_committed(&mut self) -> Vec<Entry> {
+        let end = self.commit.min(self.persisted);
+        // A snapshot that is not durable yet comes before the entries after it.
+        if end <= self.applied || self.applied < self.log.base().index {
+            return Vec::new();
+        }
+        let count = usize::try_from(end - self.applied).unwrap_or(usize::MAX);
+        let committed = self
+            .log
+            .tail(self.applied + 1)
+            .take(count)
+            .cloned()
+            .collect();
+        self.applied = end;
+        committed
+    }
+
+    fn is_own_group(&self, message: &Message) -> bool {
+        match self.hard.group {
+            0 => message.group != 0,
+            group => group == message.group,
+        }
+    }
+
+    /// Binds an empty replica to the group of the first message that it acts on.
+    pub(super) fn join(&mut self, group: u64) {
+        if self.hard.group == 0 {
+            self.hard.group = group;
+            self.unsaved.hard = true;
+        }
+    }
+
+    /// Adds an entry of the own term.
+    pub(super) fn append(&mut self, now: Instant, payload: Payload) -> Mark {
+        let entry = Entry {
+            term: self.hard.term,
+            index: self.log.last().index + 1,
+            payload,
+        };
+        let mark = Mark {
+            index: entry.index,
+            term: entry.term,
+        };
+        self.roster.note(&entry);
+        self.log.push(entry);
+        self.unsaved.entries_from(mark.index);
+        self.refresh_progress();
+        self.send_entries(now);
+        mark
+    }
+
+    /// A message that may leave as soon as the disk holds everything noted so far.
+    pub(super) fn reply(&mut self, to: Identity, body: Body) {
+        let message = self.message(to, body);
+        self.held.push(message);
+    }
+
+    /// A message that depends on the disk only in that its term must be durable.
+    pub(super) fn send(&mut self, to: Identity, body: Body) {
+        let message = self.message(to, body);
+        match self.persisted_term == self.hard.term {
+            true => self.free.push(message),
+            false => self.held.push(message),
+        }
+    }
+
+    pub(super) fn message(&self, to: Identity, body: Body) -> Message {
+        Message {
+            group: self.hard.group,
+            from: self.seat.identity,
+            address: self.seat.address,
+            to,
+            term: self.hard.term,
+            body,
+        }
+    }
+
+    pub(super) fn push_held(&mut self, message: Message) {
+        self.held.push(message);
+    }
+
+    pub(super) fn push_free(&mut self, message: Message) {
+        self.free.push(message);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/replica/election.rs
@@ -0,0 +1,189 @@
+//! Elections: pre-votes, votes and the change of terms.
+
+use std::collections::BTreeSet;
+
+use domain::{
+    clock::Instant,
+    replica::{Body, Identity, Mark, Message, Payload},
+};
+
+use super::{Replica, core::Role, progress::Leader, quorum};
+
+impl Replica {
+    /// Becomes a follower, in a newer term if `term` is one.
+    pub(super) fn follow(&mut self, now: Instant, term: u64) {
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = None;
+            self.unsaved.hard = true;
+        }
+        self.role = Role::Follower;
+        self.leader = None;
+        self.postpone(now);
+    }
+
+    /// Draws anew when to ask for votes.
+    pub(super) fn postpone(&mut self, now: Instant) {
+        self.campaign_at = now + self.timing.draw(&mut self.rng);
+    }
+
+    /// Asks whether a campaign could succeed, without opening a term: a replica that comes back
+    /// from a partition doesn't depose a leader that the others still hear.
+    pub(super) fn campaign(&mut self, now: Instant) {
+        self.postpone(now);
+        if !self.roster.current().is_voter(self.seat.identity) {
+            return;
+        }
+        self.leader = None;
+        self.role = Role::PreCandidate {
+            granted: BTreeSet::from([self.seat.identity]),
+        };
+        let last = self.log.last();
+        for to in self.other_voters() {
+            let message = Message {
+                term: self.hard.term + 1,
+                ..self.message(to, Body::PreVote { last })
+            };
+            self.push_free(message);
+        }
+        self.count_votes(now);
+    }
+
+    pub(super) fn on_pre_vote(
+        &mut self,
+        now: Instant,
+        group: u64,
+        from: Identity,
+        term: u64,
+        last: Mark,
+    ) {
+        let is_granted =
+            term > self.hard.term && self.log.is_covered_by(last) && !self.has_leader(now);
+        // A refusal carries the own term, so that a sender that lags catches up.
+        let term = match is_granted {
+            true => term,
+            false => self.hard.term,
+        };
+        let message = Message {
+            group,
+            term,
+            ..self.message(from, Body::PreVoteReply { is_granted })
+        };
+        // A refusal shows the own term, which must be durable first.
+        match is_granted {
+            true => self.push_free(message),
+            false => self.push_held(message),
+        }
+    }
+
+    pub(super) fn on_pre_vote_reply(
+        &mut self,
+        now: Instant,
+        from: Identity,
+        term: u64,
+        is_granted: bool,
+    ) {
+        match &mut self.role {
+            Role::PreCandidate { granted } if is_granted && term == self.hard.term + 1 => {
+                granted.insert(from);
+                self.count_votes(now);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn on_vote(&mut self, now: Instant, group: u64, from: Identity, last: Mark) {
+        self.join(group);
+        let is_free = self.hard.vote.is_none_or(|vote| vote == from);
+        let is_granted = is_free && self.log.is_covered_by(last);
+        if is_granted && self.hard.vote.is_none() {
+            self.hard.vote = Some(from);
+            self.unsaved.hard = true;
+            self.postpone(now);
+        }
+        self.reply(from, Body::VoteReply { is_granted });
+    }
+
+    pub(super) fn on_vote_reply(&mut self, now: Instant, from: Identity, is_granted: bool) {
+        match &mut self.role {
+            Role::Candidate { granted } if is_granted => {
+                granted.insert(from);
+                self.count_votes(now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Answers a message of an older term, so that its sender learns the newer one.
+    pub(super) fn on_stale(&mut self, from: Identity, body: &Body) {
+        match body {
+            Body::Vote { .. } => self.reply(from, Body::VoteReply { is_granted: false }),
+            Body::Append { round, .. } | Body::Install { round, .. } => {
+                let (round, index) = (*round, self.log.last().index);
+                self.reply(
+                    from,
+                    Body::AppendReply {
+                        is_match: false,
+                        index,
+                        round,
+                    },
+                );
+            }
+            Body::PreVote { .. }
+            | Body::PreVoteReply { .. }
+            | Body::VoteReply { .. }
+            | Body::AppendReply { .. } => {}
+        }
+    }
+
+    fn count_votes(&mut self, now: Instant) {
+        let members = self.roster.current();
+        match &self.role {
+            Role::PreCandidate { granted }
+                if quorum::is_reached(members, |id| granted.contains(&id)) =>
+            {
+                self.stand(now);
+            }
+            Role::Candidate { granted }
+                if quorum::is_reached(members, |id| granted.contains(&id)) =>
+            {
+                self.take_lead(now);
+            }
+            _ => {}
+        }
+    }
+
+    fn stand(&mut self, now: Instant) {
+        self.hard.term += 1;
+        self.hard.vote = Some(self.seat.identity);
+        self.unsaved.hard = true;
+        self.role = Role::Candidate {
+            granted: BTreeSet::from([self.seat.identity]),
+        };
+        let last = self.log.last();
+        for to in self.other_voters() {
+            self.reply(to, Body::Vote { last });
+        }
+        self.count_votes(now);
+    }
+
+    fn take_lead(&mut self, now: Instant) {
+        self.leader = Some(self.seat.identity);
+        let opened = self.log.last().index + 1;
+        self.role = Role::Leader(Box::new(Leader::new(now, opened)));
+        self.append(now, Payload::Noop);
+        self.lead(now);
+    }
+
+    fn other_voters(&self) -> Vec<Identity> {
+        let members = self.roster.current();
+        let voters: BTreeSet<_> = members
+            .voters
+            .keys()
+            .chain(members.outgoing.keys())
+            .copied()
+            .filter(|id| *id != self.seat.identity)
+            .collect();
+        voters.into_iter().collect()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/replica/follower.rs
@@ -0,0 +1,132 @@
+//! What a follower does with a leader's entries and snapshots.
+
+use std::sync::Arc;
+
+use domain::{
+    clock::Instant,
+    replica::{Body, Entry, Identity, Mark, Snapshot},
+};
+
+use super::{Replica, core::Role, roster::Roster};
+
+impl Replica {
+    pub(super) fn on_append(
+        &mut self,
+        now: Instant,
+        from: Identity,
+        prev: Mark,
+        entries: Vec<Entry>,
+        commit: u64,
+        round: u64,
+    ) {
+        self.hear(now, from);
+        // What is compacted is committed, so it matches whatever a leader of this term says.
+        let is_match =
+            prev.index < self.log.base().index || self.log.term_at(prev.index) == Some(prev.term);
+        if !is_match {
+            let index = self.hint(prev.index);
+            return self.reply(
+                from,
+                Body::AppendReply {
+                    is_match,
+                    index,
+                    round,
+                },
+            );
+        }
+        let index = prev.index + u64::try_from(entries.len()).unwrap_or_default();
+        self.merge(entries);
+        self.commit = self.commit.max(commit.min(index));
+        self.reply(
+            from,
+            Body::AppendReply {
+                is_match,
+                index,
+                round,
+            },
+        );
+    }
+
+    pub(super) fn on_install(
+        &mut self,
+        now: Instant,
+        from: Identity,
+        snapshot: Arc<Snapshot>,
+        round: u64,
+    ) {
+        self.hear(now, from);
+        let mark = snapshot.mark;
+        if mark.index > self.commit {
+            self.take_snapshot(snapshot);
+        }
+        let index = mark.index;
+        self.reply(
+            from,
+            Body::AppendReply {
+                is_match: true,
+                index,
+                round,
+            },
+        );
+    }
+
+    fn hear(&mut self, now: Instant, from: Identity) {
+        self.role = Role::Follower;
+        self.leader = Some(from);
+        self.heard_at = Some(now);
+        self.postpone(now);
+    }
+
+    /// From where the leader should try again: before the term that does not match.
+    fn hint(&self, prev: u64) -> u64 {
+        let last = self.log.last().index;
+        if prev > last {
+            return last;
+        }
+        let Some(term) = self.log.term_at(prev) else {
+            return self.commit;
+        };
+        let is_same = |index: &u64| self.log.term_at(*index) == Some(term);
+        let first = (self.commit..prev).rev().take_while(is_same).last();
+        first.unwrap_or(prev).saturating_sub(1).max(self.commit)
+    }
+
+    fn merge(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            let known = self.log.term_at(entry.index);
+            if known == Some(entry.term) || entry.index <= self.log.base().index {
+                continue;
+            }
+            if known.is_some() {
+                self.cut(entry.index);
+            }
+            self.unsaved.entries_from(entry.index);
+            self.roster.note(&entry);
+            self.log.push(entry);
+        }
+    }
+
+    fn cut(&mut self, index: u64) {
+        assert!(index > self.commit, "a committed entry can't change");
+        self.log.truncate(index);
+        self.roster.truncate(index);
+        self.persisted = self.persisted.min(index - 1);
+    }
+
+    fn take_snapshot(&mut self, snapshot: Arc<Snapshot>) {
+        let mark = snapshot.mark;
+        if self.log.term_at(mark.index) == Some(mark.term) {
+            // The entries are here already; only the news that they are committed was missing.
+            self.commit = mark.index;
+            return;
+        }
+        self.persisted = self.persisted.min(self.commit);
+        self.commit = mark.index;
+        self.roster = Roster::new(mark.index, snapshot.members.clone());
+        self.log.reset(mark);
+        self.snapshot = Some(snapshot);
+        self.unsaved.snapshot = true;
+        self.unsaved.base = true;
+        self.unsaved.entries_from(mark.index + 1);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/replica/leader.rs
@@ -0,0 +1,211 @@
+//! What a leader does: heartbeats, entries, commits and the watch over its quorum.
+
+use domain::{
+    clock::Instant,
+    replica::{Body, Identity, Mark},
+};
+
+use super::{
+    Replica,
+    core::Role,
+    progress::{Progress, WINDOW_ENTRIES},
+    quorum,
+};
+
+impl Replica {
+    /// Heartbeats, and the end of the lead if no quorum answers.
+    pub(super) fn lead(&mut self, now: Instant) {
+        let (limit, heartbeat, commit) =
+            (self.timing.election(), self.timing.heartbeat(), self.commit);
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if now.since(leader.quorum_at) >= limit {
+            return self.follow(now, self.hard.term);
+        }
+        if now < leader.heartbeat_at {
+            return;
+        }
+        leader.heartbeat_at = now + heartbeat;
+        leader.open_round(now, commit);
+        self.close_rounds();
+        self.send_all(now);
+        self.change_members(now);
+    }
+
+    pub(super) fn on_append_reply(
+        &mut self,
+        now: Instant,
+        from: Identity,
+        is_match: bool,
+        index: u64,
+        round: u64,
+    ) {
+        let last = self.log.last().index;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&from) else {
+            return;
+        };
+        progress.round = progress.round.max(round);
+        progress.answered_at = Some(now);
+        let is_news = match is_match {
+            true => {
+                progress.installed_at = None;
+                let is_news = index > progress.matched;
+                progress.matched = progress.matched.max(index);
+                progress.next = progress.next.max(progress.matched + 1);
+                is_news || progress.next <= last
+            }
+            false => {
+                let next = index.min(progress.next.saturating_sub(2)) + 1;
+                progress.next = next.max(progress.matched + 1);
+                true
+            }
+        };
+        self.close_rounds();
+        if is_news {
+            self.update_commit(now);
+            self.send_to(now, from, false);
+            self.change_members(now);
+        }
+    }
+
+    /// Moves the commit index over entries of the own term that a quorum holds. Older entries
+    /// are committed with them: alone they could still be replaced.
+    pub(super) fn update_commit(&mut self, now: Instant) {
+        let (own, persisted) = (self.seat.identity, self.persisted);
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let matched = |id: Identity| match leader.progress.get(&id) {
+            Some(progress) => progress.matched,
+            None if id == own => persisted,
+            None => 0,
+        };
+        let index = quorum::highest(self.roster.current(), matched);
+        if index <= self.commit || self.log.term_at(index) != Some(self.hard.term) {
+            return;
+        }
+        self.commit = index;
+        self.send_all(now);
+        self.change_members(now);
+    }
+
+    /// Keeps one record for each other member.
+    pub(super) fn refresh_progress(&mut self) {
+        let next = self.log.last().index;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let members = self.roster.current().addresses();
+        leader.progress.retain(|id, _| members.contains_key(id));
+        for id in members.keys().filter(|id| **id != self.seat.identity) {
+            leader
+                .progress
+                .entry(*id)
+                .or_insert_with(|| Progress::new(next));
+        }
+    }
+
+    /// Sends new entries to everybody who has room for them.
+    pub(super) fn send_entries(&mut self, now: Instant) {
+        for id in self.followers() {
+            self.send_to(now, id, false);
+        }
+    }
+
+    /// Sends entries or a heartbeat to everybody.
+    fn send_all(&mut self, now: Instant) {
+        for id in self.followers() {
+            self.send_to(now, id, true);
+        }
+    }
+
+    fn send_to(&mut self, now: Instant, to: Identity, is_heartbeat: bool) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let round = leader.round();
+        let Some(progress) = leader.progress.get_mut(&to) else {
+            return;
+        };
+        let base = self.log.base();
+        if progress.next <= base.index {
+            return self.install(now, to, is_heartbeat);
+        }
+        let is_room = progress.next <= progress.matched + WINDOW_ENTRIES;
+        let entries = match is_room {
+            true => self.log.batch(progress.next),
+            false => Vec::new(),
+        };
+        if entries.is_empty() && !is_heartbeat {
+            return;
+        }
+        let index = progress.next - 1;
+        let term = self.log.term_at(index).unwrap_or_default();
+        progress.next += u64::try_from(entries.len()).unwrap_or_default();
+        let body = Body::Append {
+            prev: Mark { index, term },
+            entries,
+            commit: self.commit,
+            round,
+        };
+        self.send(to, body);
+    }
+
+    /// Sends the snapshot, or a heartbeat while the last one is under way.
+    fn install(&mut self, now: Instant, to: Identity, is_heartbeat: bool) {
+        let retry = self.timing.install();
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let round = leader.round();
+        let Some(progress) = leader.progress.get_mut(&to) else {
+            return;
+        };
+        let is_waiting = progress
+            .installed_at
+            .is_some_and(|at| now.since(at) < retry);
+        let body = match &self.snapshot {
+            Some(snapshot) if !is_waiting => {
+                progress.installed_at = Some(now);
+                Body::Install {
+                    snapshot: snapshot.clone(),
+                    round,
+                }
+            }
+            _ if !is_heartbeat => return,
+            _ => Body::Append {
+                prev: self.log.base(),
+                entries: Vec::new(),
+                commit: self.commit,
+                round,
+            },
+        };
+        self.send(to, body);
+    }
+
+    fn close_rounds(&mut self) {
+        let (own, term) = (self.seat.identity, self.hard.term);
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let current = leader.round();
+        let answered = |id: Identity| match leader.progress.get(&id) {
+            Some(progress) => progress.round,
+            None if id == own => current,
+            None => 0,
+        };
+        let number = quorum::highest(self.roster.current(), answered);
+        leader.close_rounds(number, term);
+    }
+
+    fn followers(&self) -> Vec<Identity> {
+        match &self.role {
+            Role::Leader(leader) => leader.progress.keys().copied().collect(),
+            _ => Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/replica/log.rs
@@ -0,0 +1,113 @@
+//! The log in memory: the entries after a base.
+
+use std::collections::VecDeque;
+
+use domain::replica::{Entry, Mark, Payload};
+
+/// Payload bytes after which one message is full.
+const MAX_BATCH_BYTES: usize = 256 * 1024;
+/// Entries after which one message is full.
+const MAX_BATCH_ENTRIES: usize = 512;
+
+#[derive(Debug)]
+pub(super) struct Log {
+    base: Mark,
+    entries: VecDeque<Entry>,
+}
+
+impl Log {
+    pub(super) fn new(base: Mark, entries: Vec<Entry>) -> Self {
+        Self {
+            base,
+            entries: entries.into(),
+        }
+    }
+
+    pub(super) fn base(&self) -> Mark {
+        self.base
+    }
+
+    pub(super) fn last(&self) -> Mark {
+        self.entries.back().map_or(self.base, |entry| Mark {
+            index: entry.index,
+            term: entry.term,
+        })
+    }
+
+    /// The term at an index, or nothing if the index is compacted or not reached.
+    pub(super) fn term_at(&self, index: u64) -> Option<u64> {
+        match index == self.base.index {
+            true => Some(self.base.term),
+            false => self.get(index).map(|entry| entry.term),
+        }
+    }
+
+    pub(super) fn get(&self, index: u64) -> Option<&Entry> {
+        let offset = index.checked_sub(self.base.index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Adds an entry; its index must be the next one.
+    pub(super) fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last().index + 1);
+        self.entries.push_back(entry);
+    }
+
+    /// Drops the entries from `index` on.
+    pub(super) fn truncate(&mut self, index: u64) {
+        let keep = index.saturating_sub(self.base.index + 1);
+        self.entries
+            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+    }
+
+    /// Drops the entries up to `index`, which must be in the log.
+    pub(super) fn compact(&mut self, index: u64) {
+        let Some(term) = self.term_at(index) else {
+            return;
+        };
+        let count = index.saturating_sub(self.base.index);
+        self.entries.drain(..usize::try_from(count).unwrap_or(0));
+        self.base = Mark { index, term };
+    }
+
+    /// Forgets everything and goes on after `base`.
+    pub(super) fn reset(&mut self, base: Mark) {
+        self.entries.clear();
+        self.base = base;
+    }
+
+    /// All entries from `index` on.
+    pub(super) fn tail(&self, index: u64) -> impl Iterator<Item = &Entry> {
+        let skip = index.saturating_sub(self.base.index + 1);
+        self.entries
+            .iter()
+            .skip(usize::try_from(skip).unwrap_or(usize::MAX))
+    }
+
+    /// As many entries from `index` on as one message takes, at least one if there is any.
+    pub(super) fn batch(&self, index: u64) -> Vec<Entry> {
+        let mut bytes = 0;
+        self.tail(index)
+            .take(MAX_BATCH_ENTRIES)
+            .take_while(|entry| {
+                let is_room = bytes < MAX_BATCH_BYTES;
+                bytes += size(entry);
+                is_room
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// Whether a log that ends at `other` holds at least what this one holds.
+    pub(super) fn is_covered_by(&self, other: Mark) -> bool {
+        let last = self.last();
+        (other.term, other.index) >= (last.term, last.index)
+    }
+}
+
+fn size(entry: &Entry) -> usize {
+    match &entry.payload {
+        Payload::Command(bytes) => bytes.len(),
+        Payload::Noop | Payload::Members(_) => 0,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/replica/membership.rs
@@ -0,0 +1,192 @@
+//! Changes of the members: one at a time, and a voter's place only for a replica that caught up.
+
+use std::net::SocketAddr;
+
+use domain::{
+    clock::Instant,
+    replica::{Entry, Identity, Members, Payload},
+};
+
+use super::{NotLeader, Replica, core::Role};
+
+/// Replicas that a group may have.
+pub const MAX_MEMBERS: usize = 16;
+
+/// How far the admission of a replica is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It is a voter, and the change is committed.
+    Voter,
+    /// It is a learner; it takes a voter's place when it has caught up.
+    Learner,
+}
+
+/// A replica is not admitted now.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error, derive_more::From,
+)]
+pub enum Refusal {
+    /// Ask the leader.
+    #[display("{_0}")]
+    NotLeader(NotLeader),
+    /// Ask again later.
+    #[from(ignore)]
+    #[display("another change of the members is under way")]
+    Busy,
+    /// The group is full.
+    #[from(ignore)]
+    #[display("the group has {MAX_MEMBERS} members already")]
+    Full,
+}
+
+/// A replica that asks to be admitted.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Its identity.
+    pub identity: Identity,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The voter whose place it takes, if not the one at its address.
+    pub replaces: Option<Identity>,
+}
+
+impl Replica {
+    /// Admits a replica as a learner. Once it has caught up, durably, it takes the place of a
+    /// voter: the one that it replaces, or the one that was at its address before.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] unless this replica leads and no other change is under way.
+    pub fn admit(&mut self, now: Instant, candidate: Candidate) -> Result<Admission, Refusal> {
+        if !matches!(self.role, Role::Leader(_)) {
+            let leader = self.leader;
+            return Err(NotLeader { leader }.into());
+        }
+        let members = self.roster.current();
+        let identity = candidate.identity;
+        let target = candidate
+            .replaces
+            .or_else(|| voter_at(members, candidate.address))
+            .filter(|old| members.voters.contains_key(old));
+        let is_known = members.learners.get(&identity) == Some(&candidate.address)
+            && members.swaps.get(&identity) == target.as_ref();
+        match () {
+            () if members.voters.contains_key(&identity) && self.is_settled() => {
+                return Ok(Admission::Voter);
+            }
+            () if is_known || members.voters.contains_key(&identity) => {
+                return Ok(Admission::Learner);
+            }
+            () if !self.can_change() => return Err(Refusal::Busy),
+            () => {}
+        }
+        let members = with_learner(members.clone(), candidate, target);
+        if members.addresses().len() > MAX_MEMBERS {
+            return Err(Refusal::Full);
+        }
+        self.append(now, Payload::Members(members));
+        Ok(Admission::Learner)
+    }
+
+    /// Opens the log of a new group. Only the founder does: the others are still empty and get
+    /// this entry from it, so that two groups can't share a replica.
+    pub fn found(&mut self, members: Members) {
+        if self.hard.group != 0 || self.log.last().index != 0 {
+            return;
+        }
+        self.join(members.group);
+        self.hard.term += 1;
+        self.hard.vote = Some(self.seat.identity);
+        let entry = Entry {
+            term: self.hard.term,
+            index: 1,
+            payload: Payload::Members(members),
+        };
+        self.roster.note(&entry);
+        self.log.push(entry);
+        self.unsaved.entries_from(1);
+    }
+
+    /// Takes the next step of a change that is under way.
+    pub(super) fn change_members(&mut self, now: Instant) {
+        if !self.can_change() {
+            return;
+        }
+        let members = self.roster.current();
+        if !members.outgoing.is_empty() {
+            let mut members = members.clone();
+            members.outgoing.clear();
+            self.append(now, Payload::Members(members));
+        } else if !members.voters.contains_key(&self.seat.identity) {
+            // The change that replaced this replica is committed.
+            self.follow(now, self.hard.term);
+        } else if let Some((learner, old)) = self.caught_up(now) {
+            let members = with_swap(members.clone(), learner, old);
+            self.append(now, Payload::Members(members));
+        }
+    }
+
+    /// Whether the last change, and an entry of the own term, are committed.
+    fn can_change(&self) -> bool {
+        match &self.role {
+            Role::Leader(leader) => {
+                self.commit >= leader.opened && self.commit >= self.roster.index()
+            }
+            _ => false,
+        }
+    }
+
+    fn caught_up(&self, now: Instant) -> Option<(Identity, Identity)> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        let is_ready = |learner: &Identity| {
+            leader.progress.get(learner).is_some_and(|progress| {
+                let answered = progress.answered_at.map(|at| now.since(at));
+                progress.matched >= self.commit
+                    && answered.is_some_and(|span| span < self.timing.election())
+            })
+        };
+        let swaps = &self.roster.current().swaps;
+        swaps
+            .iter()
+            .find(|(learner, _)| is_ready(learner))
+            .map(|(learner, old)| (*learner, *old))
+    }
+}
+
+fn voter_at(members: &Members, address: SocketAddr) -> Option<Identity> {
+    let mut voters = members.voters.iter();
+    voters
+        .find(|(_, other)| **other == address)
+        .map(|(id, _)| *id)
+}
+
+/// Adds a learner in place of other ones at the same address or for the same voter.
+fn with_learner(mut members: Members, candidate: Candidate, target: Option<Identity>) -> Members {
+    members
+        .learners
+        .retain(|_, other| *other != candidate.address);
+    members.swaps.retain(|_, old| Some(*old) != target);
+    members
+        .learners
+        .insert(candidate.identity, candidate.address);
+    let learners = &members.learners;
+    members.swaps.retain(|id, _| learners.contains_key(id));
+    if let Some(old) = target {
+        members.swaps.insert(candidate.identity, old);
+    }
+    members
+}
+
+/// Puts a learner in a voter's place. Both sets decide until the next change is committed: the
+/// old majority {B, C} and the new majority {A, D} of A, B, C → A, B, D share nobody.
+fn with_swap(mut members: Members, learner: Identity, old: Identity) -> Members {
+    members.outgoing = members.voters.clone();
+    members.voters.remove(&old);
+    members.swaps.remove(&learner);
+    if let Some(address) = members.learners.remove(&learner) {
+        members.voters.insert(learner, address);
+    }
+    members
+}
--- /dev/null
+++ b/crates/policy/src/replica/saved.rs
@@ -0,0 +1,32 @@
+//! What a replica finds on its disk.
+
+use std::sync::Arc;
+
+use domain::replica::{Entry, Identity, Mark, Snapshot};
+use serde::{Deserialize, Serialize};
+
+/// What must be durable before any answer that depends on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hard {
+    /// The newest term seen.
+    pub term: u64,
+    /// The candidate that got this replica's vote in that term.
+    pub vote: Option<Identity>,
+    /// The group that the replica belongs to, or zero.
+    pub group: u64,
+    /// A lower bound of the commit index, so that a restart need not wait for a leader.
+    pub commit: u64,
+}
+
+/// Everything that a replica starts from.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Saved {
+    /// Term, vote, group and commit index.
+    pub hard: Hard,
+    /// The entry before the first one in `entries`.
+    pub base: Mark,
+    /// The newest snapshot.
+    pub snapshot: Option<Arc<Snapshot>>,
+    /// The log after `base`.
+    pub entries: Vec<Entry>,
+}
