--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,3 +3,4 @@
 //! See `docs/ARCHITECTURE.md`, "Control".
 
 pub mod log;
+pub mod replication;
