--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod machine;
 pub mod metrics;
 pub mod pins;
+pub mod replication;
 pub mod service;
 pub mod single;
 pub mod soft;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod membership;
 pub mod owner;
 pub mod pacer;
+pub mod replica;
 pub mod rollout;
 pub mod spool;
 pub mod state;
