Put the daemon on the replicated log

The daemon ran on a log of one replica in memory. It now opens the replicated log in its data folder and serves the other replicas on the same listener. The log in memory stays for tests of the feed and the edits, where the age of the state has to be set by hand.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -1,11 +1,13 @@
 //! The daemon: one thread for the replica and its sessions, others for HTTP.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, thread, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, thread, time::Duration};
 
 use domain::clock::Clock;
+use opentelemetry::metrics::Meter;
 use operator::access::{Access, Operator};
 use peer::{connection::Dialer, server::Server};
 use platform::{clock::Boot, shutdown::Shutdown, status::Page};
+use policy::replica::Timing;
 use settings::control::Control;
 use slog::{Logger, error, info};
 use snafu::ResultExt;
@@ -20,14 +22,16 @@
 use crate::{
     core::Core,
     desk::{self, Desk, Inbox},
-    error::{Error, ListenSnafu, MetricsSnafu, PlatformSnafu, ServeSnafu, StartSnafu},
+    error::{
+        Error, ListenSnafu, MetricsSnafu, PlatformSnafu, ReplicationSnafu, ServeSnafu, StartSnafu,
+    },
     exchange,
     health::Health,
     leader,
     machine::Machine,
     metrics::{Metrics, Reading},
+    replication::{self, Setup},
     service::Service,
-    single::Single,
 };
 
 /// How often sessions are looked at and readings are taken.
@@ -64,7 +68,7 @@
         logger: logger.clone(),
     };
     let http = http.spawn()?;
-    let instruments = Metrics::new(&metrics.meter("control"));
+    let meter = metrics.meter("control");
     let replica = Replica {
         settings,
         secret: secret.into(),
@@ -72,7 +76,7 @@
         logger: logger.clone(),
         health,
         inbox,
-        instruments,
+        meter,
     };
     let runtime = Builder::new_current_thread()
         .enable_all()
@@ -159,22 +163,24 @@
     logger: Logger,
     health: Arc<Health>,
     inbox: Inbox,
-    instruments: Metrics,
+    meter: Meter,
 }
 
 impl Replica {
     async fn run(self, shutdown: &Shutdown) -> Result<(), Error> {
+        let setup = self.setup();
         let address = self.settings.peer_listen;
         let listener = listen(address).await?;
-        let core = Core::new(
-            self.settings,
-            self.clock,
-            self.logger.clone(),
-            self.instruments,
-        );
-        core.bind(Single::new(Machine::new(core.clone()), address));
+        let instruments = Metrics::new(&self.meter);
+        let core = Core::new(self.settings, self.clock, self.logger.clone(), instruments);
+        let machine = Rc::new(RefCell::new(Machine::new(core.clone())));
+        let sessions = Rc::new(exchange::Sessions::new(core.clone()));
+        let replica = replication::open(setup, machine, sessions).context(ReplicationSnafu)?;
+        core.bind(replica.log);
         let dialer = Dialer::new(self.secret.clone());
-        let server = Server::new(self.secret).with_control(Service::new(core.clone()));
+        let server = Server::new(self.secret)
+            .with_control(Service::new(core.clone()))
+            .with_replica(replica.service);
         task::spawn_local(self.inbox.run(core.clone()));
         task::spawn_local(exchange::run(core.clone(), dialer));
         task::spawn_local(leader::run(core.clone()));
@@ -182,9 +188,27 @@
         info!(self.logger, "control: started"; "peers" => %address);
         tokio::select! {
             served = server.run(listener) => served.context(ServeSnafu { part: "peers" }),
+            ended = replica.run => ended.context(ReplicationSnafu),
             () = shutdown.drain.cancelled() => Ok(()),
         }
     }
+
+    fn setup(&self) -> Setup {
+        let settings = &self.settings;
+        let heartbeat = Duration::from_millis(settings.heartbeat_ms);
+        let election = Duration::from_millis(settings.election_ms);
+        Setup {
+            folder: settings.data.clone(),
+            address: settings.peer_listen,
+            replicas: settings.replicas.clone(),
+            timing: Timing::new(heartbeat, election),
+            snapshot_entries: settings.snapshot_entries,
+            secret: self.secret.clone(),
+            clock: self.clock.clone(),
+            logger: self.logger.clone(),
+            meter: self.meter.clone(),
+        }
+    }
 }
 
 /// Ends silent sessions and takes readings.
--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -44,6 +44,12 @@
         /// What it said.
         source: platform::Error,
     },
+    /// The replicated log failed.
+    #[snafu(display("{source}"))]
+    Replication {
+        /// What it said.
+        source: crate::replication::Error,
+    },
     /// The metrics could not be set up.
     #[snafu(display("{source}"))]
     Metrics {
--- a/crates/control/src/exchange.rs
+++ b/crates/control/src/exchange.rs
@@ -8,7 +8,7 @@
 use slog::debug;
 use tokio::{task::JoinHandle, time};
 
-use crate::core::Core;
+use crate::{core::Core, replication::Vms};
 
 /// How long a question waits for a change.
 const POLL_WAIT: Duration = Duration::from_millis(500);
@@ -17,17 +17,31 @@
 /// How often the members are looked at for new replicas.
 const MEMBERS_PERIOD: Duration = Duration::from_millis(500);
 
-/// Answers another replica that asks for the sessions kept here.
-pub fn answer(core: Rc<Core>, cursor: Cursor, wait: Duration) -> Answer<Batch> {
-    async move {
-        if !core.table().is_warm(core.clock.now()) {
-            let detail = "the agents of this replica are not all known yet".to_owned();
-            return Err(capnp::Error::failed(detail));
+/// The sessions kept here, as the other replicas ask for them.
+pub struct Sessions {
+    core: Rc<Core>,
+}
+
+impl Sessions {
+    /// The sessions in the given tables.
+    pub fn new(core: Rc<Core>) -> Self {
+        Self { core }
+    }
+}
+
+impl Vms for Sessions {
+    fn vms(&self, cursor: Cursor, wait: Duration) -> Answer<Batch> {
+        let core = self.core.clone();
+        async move {
+            if !core.table().is_warm(core.clock.now()) {
+                let detail = "the agents of this replica are not all known yet".to_owned();
+                return Err(capnp::Error::failed(detail));
+            }
+            core.own.wait(cursor, wait).await;
+            Ok(core.own_batch(cursor))
         }
-        core.own.wait(cursor, wait).await;
-        Ok(core.own_batch(cursor))
+        .boxed_local()
     }
-    .boxed_local()
 }
 
 /// Asks every other member for its sessions, for as long as it is a member.
--- a/crates/control/src/single.rs
+++ b/crates/control/src/single.rs
@@ -63,7 +63,7 @@
             applied: index,
             members: Members {
                 voters: BTreeMap::from([(Self::IDENTITY, self.address)]),
-                learners: BTreeMap::new(),
+                ..Members::default()
             },
             role: Role::Leader,
         }
