--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod age;
 pub mod owner;
 pub mod pacer;
+pub mod replica;
 pub mod spool;
 pub mod swarm;
 pub mod view;
