Entry: resolve, choose, dispatch, stream, once

Decisions stand in policy (resolve, router, affinity, suspicion, retry budget, stream sequence) and take time and randomness as arguments; the shells in entry and caller do the I/O. Compiled and linted only; tests follow.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,5 +4,11 @@
 //! and a passed-in [`domain::clock::Instant`], outputs are values, and generators are handed in.
 //! So the same code runs in the daemons, in tests and in the bench. See `docs/ARCHITECTURE.md`.
 
+pub mod affinity;
 pub mod age;
+pub mod resolve;
+pub mod retry;
+pub mod router;
+pub mod sse;
+pub mod suspicion;
 pub mod view;
--- /dev/null
+++ b/crates/policy/src/retry.rs
@@ -0,0 +1,84 @@
+//! The retry budget: retries stay a fraction of recent calls, so that a failing fleet is not
+//! drowned by the calls that it failed.
+//!
+//! See `docs/ARCHITECTURE.md`, "Retries".
+
+use std::{collections::VecDeque, time::Duration};
+
+use domain::clock::Instant;
+
+/// How long calls and retries count.
+const WINDOW: Duration = Duration::from_secs(10);
+/// The length of one slot of the window.
+const SLOT: Duration = Duration::from_secs(1);
+/// Retries that a window allows however few calls there were.
+const MIN_RETRIES: u64 = 10;
+
+#[derive(Clone, Copy, Debug)]
+struct Slot {
+    begin: Instant,
+    calls: u64,
+    retries: u64,
+}
+
+/// Counts of the recent past.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    percent: u64,
+    slots: VecDeque<Slot>,
+}
+
+impl Budget {
+    /// A budget of `percent` retries for each hundred calls.
+    pub fn new(percent: u32) -> Self {
+        Self {
+            percent: percent.into(),
+            slots: VecDeque::new(),
+        }
+    }
+
+    /// Counts a new call.
+    pub fn call(&mut self, now: Instant) {
+        self.slot(now).calls += 1;
+    }
+
+    /// Takes one retry out of the budget, or says that none is left.
+    pub fn take(&mut self, now: Instant) -> bool {
+        self.slot(now);
+        let (calls, retries) = self.slots.iter().fold((0, 0), |(calls, retries), slot| {
+            (calls + slot.calls, retries + slot.retries)
+        });
+        let allowed = match self.percent {
+            0 => 0,
+            percent => MIN_RETRIES.max(calls * percent / 100),
+        };
+        let is_left = retries < allowed;
+        if is_left {
+            self.slot(now).retries += 1;
+        }
+        is_left
+    }
+
+    fn slot(&mut self, now: Instant) -> &mut Slot {
+        while self
+            .slots
+            .front()
+            .is_some_and(|slot| now.since(slot.begin) >= WINDOW)
+        {
+            self.slots.pop_front();
+        }
+        let is_current = self
+            .slots
+            .back()
+            .is_some_and(|slot| now.since(slot.begin) < SLOT);
+        if !is_current {
+            self.slots.push_back(Slot {
+                begin: now,
+                calls: 0,
+                retries: 0,
+            });
+        }
+        let last = self.slots.len() - 1;
+        &mut self.slots[last]
+    }
+}
--- /dev/null
+++ b/crates/policy/src/suspicion.rs
@@ -0,0 +1,114 @@
+//! Passive failure detection: upstreams that failed are avoided for a while, then probed.
+//!
+//! It steers one entry's choice at once and never waits for control. See `docs/ARCHITECTURE.md`,
+//! "Choice of upstream".
+
+use std::{collections::HashMap, time::Duration};
+
+use domain::{clock::Instant, name};
+
+/// The pause after the first failure.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+/// The longest pause.
+const MAX_PAUSE: Duration = Duration::from_secs(10);
+/// The pause after a refusal, which says nothing against the upstream's health.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
+/// How long a probe may be under way before another one is allowed.
+const PROBE_LIMIT: Duration = Duration::from_secs(10);
+
+/// How an upstream stands with this entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing speaks against it.
+    Trusted,
+    /// It is avoided for this much longer.
+    Suspected(Duration),
+    /// Its pause is over; one call may try it.
+    HalfOpen,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    failures: u32,
+    until: Instant,
+    probe: Option<Instant>,
+}
+
+/// What this entry holds against upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    records: HashMap<name::Vm, Record>,
+}
+
+impl Table {
+    /// A table that trusts everyone.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// How the upstream stands at `now`.
+    pub fn standing(&self, vm: &name::Vm, now: Instant) -> Standing {
+        match self.records.get(vm) {
+            None => Standing::Trusted,
+            Some(record) if now < record.until => Standing::Suspected(record.until.since(now)),
+            Some(Record { failures: 0, .. }) => Standing::Trusted,
+            Some(Record {
+                probe: Some(at), ..
+            }) if now.since(*at) < PROBE_LIMIT => Standing::Suspected(PROBE_LIMIT - now.since(*at)),
+            Some(_) => Standing::HalfOpen,
+        }
+    }
+
+    /// A call goes to the upstream; in a half-open state it is the only probe.
+    pub fn begin(&mut self, vm: &name::Vm, now: Instant) {
+        let is_probe = self.standing(vm, now) == Standing::HalfOpen;
+        let record = self.records.get_mut(vm).filter(|_| is_probe);
+        if let Some(record) = record {
+            record.probe = Some(now);
+        }
+    }
+
+    /// The upstream answered as it should.
+    pub fn succeed(&mut self, vm: &name::Vm) {
+        self.records.remove(vm);
+    }
+
+    /// The upstream refused the call without running it, for a cause other than load.
+    pub fn refuse(&mut self, vm: &name::Vm, now: Instant) {
+        let record = self.record(vm, now);
+        record.probe = None;
+        record.until = record.until.max(now + REFUSAL_PAUSE);
+    }
+
+    /// The call ended without saying anything about the upstream.
+    pub fn release(&mut self, vm: &name::Vm) {
+        if let Some(record) = self.records.get_mut(vm) {
+            record.probe = None;
+        }
+    }
+
+    /// The upstream failed. Failures of calls that ran side by side count as one.
+    pub fn fail(&mut self, vm: &name::Vm, now: Instant) {
+        let record = self.record(vm, now);
+        let is_counted = record.failures > 0 && now < record.until;
+        if !is_counted {
+            record.failures = record.failures.saturating_add(1);
+            let factor = 1 << (record.failures - 1).min(16);
+            record.until = now + MIN_PAUSE.saturating_mul(factor).min(MAX_PAUSE);
+        }
+        record.probe = None;
+    }
+
+    /// Forgets upstreams that are no longer known.
+    pub fn retain(&mut self, is_known: impl Fn(&name::Vm) -> bool) {
+        self.records.retain(|vm, _| is_known(vm));
+    }
+
+    fn record(&mut self, vm: &name::Vm, now: Instant) -> &mut Record {
+        self.records.entry(vm.clone()).or_insert(Record {
+            failures: 0,
+            until: now,
+            probe: None,
+        })
+    }
+}
