--- /dev/null
+++ b/crates/policy/tests/changes.rs
@@ -0,0 +1,121 @@
+//! Changes of the feed: whatever a subscriber missed, its next answer makes it complete.
+
+use std::collections::BTreeMap;
+
+use domain::record::{Cursor, Delta, Key, Record};
+use policy::changes::{Changes, MAX_TOMBSTONES};
+
+const EPOCH: u64 = 7;
+
+#[derive(Default)]
+struct Subscriber {
+    cursor: Cursor,
+    records: BTreeMap<Key, Record>,
+}
+
+impl Subscriber {
+    /// Polls, and says whether the answer was a snapshot and how many deltas it had.
+    fn poll(&mut self, changes: &Changes) -> (bool, usize) {
+        let since = changes.since(self.cursor);
+        if since.is_snapshot {
+            self.records.clear();
+        }
+        let seen = (since.is_snapshot, since.deltas.len());
+        for delta in since.deltas {
+            match delta {
+                Delta::Set(record) => {
+                    self.records.insert(record.key(), record);
+                }
+                Delta::Remove(key) => {
+                    self.records.remove(&key);
+                }
+            }
+        }
+        self.cursor = since.cursor;
+        seen
+    }
+}
+
+fn drain(n: usize) -> Record {
+    Record::Drain(format!("vm-{n}").as_str().into())
+}
+
+#[test]
+fn a_subscriber_gets_what_it_lacks_and_nothing_else() {
+    let mut changes = Changes::new(EPOCH);
+    let mut subscriber = Subscriber::default();
+    assert_eq!(subscriber.poll(&changes), (true, 0));
+    assert!(changes.apply(Delta::Set(drain(1))));
+    assert!(!changes.apply(Delta::Set(drain(1))), "it is no change");
+    assert!(!changes.apply(Delta::Remove(drain(2).key())), "nor is this");
+    changes.apply(Delta::Set(drain(3)));
+    changes.apply(Delta::Remove(drain(3).key()));
+    assert_eq!(subscriber.poll(&changes), (false, 2));
+    assert_eq!(subscriber.poll(&changes), (false, 0));
+    let mut restarted = Changes::new(EPOCH + 1);
+    restarted.apply(Delta::Set(drain(4)));
+    assert_eq!(subscriber.poll(&restarted), (true, 1));
+    assert_eq!(subscriber.records.len(), 1);
+}
+
+#[test]
+fn a_subscriber_that_missed_a_dropped_tombstone_gets_a_snapshot() {
+    let mut changes = Changes::new(EPOCH);
+    let mut subscriber = Subscriber::default();
+    for n in 0..=MAX_TOMBSTONES {
+        changes.apply(Delta::Set(drain(n)));
+    }
+    subscriber.poll(&changes);
+    for n in 0..=MAX_TOMBSTONES {
+        changes.apply(Delta::Remove(drain(n).key()));
+    }
+    assert_eq!(subscriber.poll(&changes), (true, 0));
+    assert!(subscriber.records.is_empty());
+}
+
+#[test]
+fn a_replacement_leaves_uncovered_records_alone() {
+    let mut changes = Changes::new(EPOCH);
+    changes.apply(Delta::Set(drain(1)));
+    changes.apply(Delta::Set(Record::ZoneOut("durban".into())));
+    let is_covered = |key: &Key| matches!(key, Key::Drain(_));
+    assert!(changes.replace(vec![drain(2)], is_covered));
+    assert!(!changes.replace(vec![drain(2)], is_covered));
+    let mut subscriber = Subscriber::default();
+    subscriber.poll(&changes);
+    let expected = [drain(2), Record::ZoneOut("durban".into())];
+    assert!(
+        expected
+            .iter()
+            .all(|r| subscriber.records.contains_key(&r.key()))
+    );
+    assert_eq!(subscriber.records.len(), expected.len());
+}
+
+#[test]
+fn any_subscriber_is_complete_after_its_poll() {
+    bolero::check!()
+        .with_type::<Vec<(u8, bool, bool)>>()
+        .for_each(|steps| {
+            let mut changes = Changes::new(EPOCH);
+            let mut truth: BTreeMap<Key, Record> = BTreeMap::new();
+            let mut subscriber = Subscriber::default();
+            for (n, is_set, is_polled) in steps {
+                let record = drain(usize::from(n % 16));
+                match is_set {
+                    true => {
+                        truth.insert(record.key(), record.clone());
+                        changes.apply(Delta::Set(record));
+                    }
+                    false => {
+                        truth.remove(&record.key());
+                        changes.apply(Delta::Remove(record.key()));
+                    }
+                }
+                if *is_polled {
+                    subscriber.poll(&changes);
+                    assert_eq!(subscriber.records, truth);
+                }
+            }
+        });
+}
--- /dev/null
+++ b/crates/policy/tests/state.rs
@@ -0,0 +1,370 @@
+//! The replicated state: edits, their answers, and agreement of replicas.
+#![allow(clippy::unwrap_used)]
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use domain::{
+    artifact,
+    command::{Command, Reply},
+    digest::Digest,
+    edit::{Answer, Change, Edit, Pins, Revision},
+    lists::{Customer, Grant, Lists, Plan},
+    manifest::Pin,
+    record::{Batch, Cursor, Delta},
+    rollout::Stage,
+    violation::Violation,
+};
+use policy::{state::State, view::View};
+
+fn lists(versions: &[&str]) -> Lists {
+    let grant = Grant {
+        model: "draft".into(),
+        versions: versions.iter().map(|version| (*version).into()).collect(),
+        adapters: Vec::new(),
+    };
+    Lists {
+        customers: vec![Customer {
+            name: "skipper".into(),
+            plan: "gold".into(),
+            key_digests: vec![Digest::of(b"key")],
+        }],
+        plans: vec![Plan {
+            name: "gold".into(),
+            share: 10,
+            models: vec![grant],
+            services: Vec::new(),
+        }],
+    }
+}
+
+fn pins(lists: &Lists) -> Pins {
+    let pin = Pin {
+        digest: Digest::of(b"manifest"),
+        total_bytes: 10,
+        chunks: 2,
+    };
+    let ids = lists.artifacts().into_iter();
+    ids.map(|id| (id.to_string(), pin)).collect()
+}
+
+fn edit(id: &str, base: Option<u64>, change: Change) -> Edit {
+    Edit {
+        id: id.into(),
+        base: base.map(Revision),
+        change,
+        allow_outage: false,
+        author: None,
+    }
+}
+
+fn command(edit: Edit) -> Command {
+    let pins = match &edit.change {
+        Change::Lists(lists) => pins(lists),
+        _ => Pins::new(),
+    };
+    Command::Edit {
+        edit,
+        pins,
+        objections: Vec::new(),
+        at_ms: 5,
+    }
+}
+
+fn submit(state: &mut State, index: u64, command: Command) -> Answer {
+    match state.apply(1, index, command).reply {
+        Reply::Edit(answer) => answer,
+        reply => panic!("{reply:?}"),
+    }
+}
+
+fn zone(in_service: bool) -> Change {
+    Change::Zone {
+        zone: "durban".into(),
+        in_service,
+    }
+}
+
+fn accepted(revision: u64) -> Answer {
+    Answer::Accepted {
+        revision: Revision(revision),
+    }
+}
+
+fn paths(answer: &Answer) -> Vec<&str> {
+    match answer {
+        Answer::Refused { violations } => violations.iter().map(|v| v.path.as_str()).collect(),
+        _ => Vec::new(),
+    }
+}
+
+fn advance(state: &mut State, index: u64, id: &str, to: Stage) {
+    let id = artifact::Id::parse(id).unwrap();
+    let from = state.rollouts()[&id].stage.clone();
+    let artifact = id;
+    state.apply(1, index, Command::Advance { artifact, from, to });
+}
+
+#[test]
+fn of_two_edits_from_one_revision_exactly_one_is_accepted() {
+    let mut state = State::new();
+    let first = command(edit("a", Some(0), Change::Lists(lists(&["1"]))));
+    let second = command(edit("b", Some(0), Change::Lists(lists(&["2"]))));
+    assert_eq!(submit(&mut state, 1, first), accepted(1));
+    let conflict = Answer::Conflict {
+        revision: Revision(1),
+        winner: "a".into(),
+    };
+    assert_eq!(submit(&mut state, 2, second.clone()), conflict);
+    assert_eq!(state.lists(), &lists(&["1"]));
+    submit(&mut state, 3, command(edit("c", None, zone(false))));
+    assert_eq!(submit(&mut state, 4, second), conflict, "resent later");
+}
+
+#[test]
+fn a_resend_gets_the_first_answer_and_changes_nothing() {
+    let mut state = State::new();
+    let out = edit("out", None, zone(false));
+    assert_eq!(submit(&mut state, 1, command(out.clone())), accepted(1));
+    let back = command(edit("back", None, zone(true)));
+    assert_eq!(submit(&mut state, 2, back), accepted(2));
+    assert_eq!(submit(&mut state, 3, command(out.clone())), accepted(1));
+    assert!(state.zones_out().is_empty(), "the resend took the zone out");
+    let rebased = Edit {
+        base: Some(Revision(2)),
+        ..out.clone()
+    };
+    assert_eq!(submit(&mut state, 4, command(rebased)), accepted(1));
+    let other = Edit {
+        change: zone(true),
+        ..out
+    };
+    assert_eq!(paths(&submit(&mut state, 5, command(other))), ["$.id"]);
+    assert_eq!(state.revision(), Revision(2));
+}
+
+#[test]
+fn a_wrong_edit_is_refused_whole_with_its_paths() {
+    let mut wrong = lists(&["1", "1"]);
+    wrong.plans[0].share = 0;
+    wrong.customers[0].plan = "silver".into();
+    let cases: Vec<(Edit, Vec<&str>)> = vec![
+        (
+            edit("a", Some(0), Change::Lists(wrong)),
+            vec![
+                "$.customers[0].plan",
+                "$.plans[0].share",
+                "$.plans[0].models[0].versions[1]",
+            ],
+        ),
+        (
+            edit("b", None, Change::Lists(lists(&["1"]))),
+            vec!["$.base"],
+        ),
+        (edit("", None, zone(false)), vec!["$.id"]),
+        (
+            edit(
+                "c",
+                None,
+                Change::Zone {
+                    zone: "a b".into(),
+                    in_service: false,
+                },
+            ),
+            vec!["$.change.zone.zone"],
+        ),
+        (
+            edit(
+                "d",
+                None,
+                Change::Resume {
+                    artifact: artifact::Id::new("draft", "1"),
+                },
+            ),
+            vec!["$.change.resume.artifact"],
+        ),
+    ];
+    let mut state = State::new();
+    for (i, (edit, expected)) in (1..).zip(cases) {
+        let answer = submit(&mut state, i, command(edit));
+        assert_eq!(paths(&answer), expected);
+    }
+    assert_eq!(state.revision(), Revision(0));
+    assert_eq!(state.lists(), &Lists::default());
+}
+
+#[test]
+fn an_edit_whose_manifest_is_not_read_is_refused() {
+    let mut state = State::new();
+    let unread = Command::Edit {
+        edit: edit("a", Some(0), Change::Lists(lists(&["1"]))),
+        pins: Pins::new(),
+        objections: Vec::new(),
+        at_ms: 0,
+    };
+    assert_eq!(paths(&submit(&mut state, 1, unread)), ["$.plans"]);
+    let objected = Command::Edit {
+        edit: edit("b", None, zone(false)),
+        pins: Pins::new(),
+        objections: vec![Violation::new("$.change.zone.zone", "nothing left")],
+        at_ms: 0,
+    };
+    let answer = submit(&mut state, 2, objected);
+    assert_eq!(paths(&answer), ["$.change.zone.zone"]);
+    let resent = command(edit("b", None, zone(false)));
+    assert_eq!(submit(&mut state, 3, resent), answer, "the refusal is kept");
+}
+
+#[test]
+fn a_plan_keeps_a_version_in_service_unless_the_operator_insists() {
+    let mut state = State::new();
+    submit(
+        &mut state,
+        1,
+        command(edit("a", Some(0), Change::Lists(lists(&["1"])))),
+    );
+    // Nothing is in service yet, so nothing can be lost.
+    submit(
+        &mut state,
+        2,
+        command(edit("b", Some(1), Change::Lists(lists(&["2", "1"])))),
+    );
+    advance(&mut state, 3, "draft@1", Stage::Ready);
+    let only_new = edit("c", Some(2), Change::Lists(lists(&["2"])));
+    let answer = submit(&mut state, 4, command(only_new.clone()));
+    assert_eq!(paths(&answer), ["$.plans[0].models"]);
+    let insisted = Edit {
+        id: "d".into(),
+        allow_outage: true,
+        ..only_new
+    };
+    assert_eq!(submit(&mut state, 5, command(insisted)), accepted(3));
+    let left: Vec<_> = state.rollouts().keys().map(ToString::to_string).collect();
+    assert_eq!(left, ["draft@2"]);
+}
+
+#[test]
+fn a_rollout_moves_only_from_the_stage_that_was_seen() {
+    let mut state = State::new();
+    submit(
+        &mut state,
+        1,
+        command(edit("a", Some(0), Change::Lists(lists(&["1"])))),
+    );
+    let id = artifact::Id::new("draft", "1");
+    let first = state.rollouts()[&id].fence;
+    let halted = Stage::Halted {
+        reason: "vm-1: out of memory".to_owned(),
+        width: 50,
+    };
+    advance(&mut state, 2, "draft@1", Stage::Wave { width: 50 });
+    let stale = Command::Advance {
+        artifact: id.clone(),
+        from: Stage::Prefetch,
+        to: Stage::Ready,
+    };
+    assert!(state.apply(1, 3, stale).deltas.is_empty());
+    assert_eq!(state.rollouts()[&id].stage, Stage::Wave { width: 50 });
+    advance(&mut state, 4, "draft@1", halted);
+    let resume = Change::Resume {
+        artifact: id.clone(),
+    };
+    assert_eq!(
+        submit(&mut state, 5, command(edit("r", None, resume))),
+        accepted(2)
+    );
+    assert_eq!(state.rollouts()[&id].stage, Stage::Wave { width: 50 });
+    assert!(state.rollouts()[&id].fence > first);
+}
+
+/// Makes a command of four random bytes; ids and bases collide often.
+fn random_command([kind, id, base, what]: [u8; 4]) -> Command {
+    let versions: [&[&str]; 4] = [&["1"], &["2", "1"], &["2"], &["3", "3"]];
+    let versions = versions[usize::from(what % 4)];
+    let artifact = artifact::Id::new("draft", ["1", "2"][usize::from(what % 2)]);
+    let change = match kind % 8 {
+        0..=3 => Change::Lists(lists(versions)),
+        4 => zone(what.is_multiple_of(2)),
+        5 => Change::Drain {
+            vm: "vm-1".into(),
+            is_draining: what.is_multiple_of(2),
+        },
+        6 => Change::Resume { artifact },
+        _ => {
+            let stages = [
+                Stage::Prefetch,
+                Stage::Wave { width: 50 },
+                Stage::Ready,
+                Stage::Halted {
+                    reason: "failed".to_owned(),
+                    width: 50,
+                },
+            ];
+            return Command::Advance {
+                artifact,
+                from: stages[usize::from(id % 4)].clone(),
+                to: stages[usize::from(base % 4)].clone(),
+            };
+        }
+    };
+    let base = (base < 200).then(|| u64::from(base % 6));
+    command(edit(&format!("edit-{}", id % 24), base, change))
+}
+
+#[test]
+fn replicas_agree_also_across_snapshots_and_answers_never_differ() {
+    bolero::check!()
+        .with_type::<Vec<[u8; 4]>>()
+        .for_each(|steps| {
+            let mut leader = State::new();
+            let mut follower = State::new();
+            let mut view = View::default();
+            let mut answers: BTreeMap<Arc<str>, (Change, Answer)> = BTreeMap::new();
+            for (index, step) in (1..).zip(steps) {
+                let command = random_command(*step);
+                let revision = leader.revision();
+                let applied = leader.apply(1, index, command.clone());
+                if step[3] > 200 {
+                    let bytes = rmp_serde::to_vec_named(&follower).unwrap();
+                    follower = rmp_serde::from_slice(&bytes).unwrap();
+                }
+                assert_eq!(applied, follower.apply(1, index, command.clone()));
+                assert!(leader.revision() >= revision, "the revision fell");
+                feed(&mut view, &leader, index, applied.deltas);
+                if let (Command::Edit { edit, .. }, Reply::Edit(answer)) = (command, applied.reply)
+                {
+                    let (change, first) = answers
+                        .entry(edit.id)
+                        .or_insert_with(|| (edit.change.clone(), answer.clone()));
+                    if *change == edit.change {
+                        assert_eq!(*first, answer, "a resend got another answer");
+                    }
+                }
+            }
+            assert_eq!(leader, follower);
+            check_view(&view, &leader);
+        });
+}
+
+fn feed(view: &mut View, state: &State, commit: u64, deltas: Vec<Delta>) {
+    let batch = Batch {
+        is_snapshot: false,
+        deltas,
+        revision: state.revision(),
+        commit,
+        cursor: Cursor::default(),
+        age_ms: 0,
+    };
+    view.apply(batch).unwrap();
+}
+
+/// Deltas must add up to the whole state.
+fn check_view(view: &View, state: &State) {
+    let mut fresh = View::default();
+    let records = state.records().into_iter().map(Delta::Set).collect();
+    feed(&mut fresh, state, view.commit, records);
+    assert_eq!(view.customers, fresh.customers);
+    assert_eq!(view.plans, fresh.plans);
+    assert_eq!(view.rollouts, fresh.rollouts);
+    assert_eq!(view.zones_out, fresh.zones_out);
+    assert_eq!(view.drains, fresh.drains);
+}
