--- a/crates/policy/tests/rollout.rs
+++ b/crates/policy/tests/rollout.rs
@@ -68,7 +68,10 @@
             controller: Controller::new(),
             stage,
             index: 1,
-            vms: (0..12).map(|n| vm(n, holding.clone())).collect(),
+            vms: std::iter::repeat_n(holding, 12)
+                .enumerate()
+                .map(|(n, holding)| vm(n, holding))
+                .collect(),
             zones_out: BTreeSet::new(),
             drains: BTreeSet::new(),
         }
