--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,3 +3,4 @@
 //! See `docs/ARCHITECTURE.md`, "Agent".
 
 pub mod depot;
+pub mod weights;
--- a/crates/policy/src/swarm/machine.rs
+++ b/crates/policy/src/swarm/machine.rs
@@ -202,6 +202,11 @@
         Some(&self.versions.get(manifest)?.held)
     }
 
+    /// How many chunks a version has.
+    pub fn chunk_count(&self, manifest: &Digest) -> Option<usize> {
+        Some(self.versions.get(manifest)?.chunks.len())
+    }
+
     /// The sessions that should be open.
     pub fn watches(&self, now: Instant) -> BTreeSet<Watch> {
         self.versions
--- a/crates/settings/src/agent.rs
+++ b/crates/settings/src/agent.rs
@@ -124,6 +124,11 @@
     #[serde(default = "pipeline")]
     #[garde(range(min = 1, max = 256))]
     pub pipeline: usize,
+    /// How much the origin may send of a version when links between regions are slow, in
+    /// hundredths of a copy.
+    #[serde(default = "origin_percent_max")]
+    #[garde(range(min = 100, max = 300))]
+    pub origin_percent_max: u32,
     /// How many versions the engine can hold in memory at once.
     #[serde(default = "slots")]
     #[garde(range(min = 1, max = 1_000))]
@@ -161,6 +166,10 @@
     8
 }
 
+fn origin_percent_max() -> u32 {
+    115
+}
+
 fn slots() -> usize {
     8
 }
