Decide at the gate of an upstream: limit, fair queue, lifecycle, orders

Cause: nothing bounds what an upstream gets, nor who gets it. Change, all sans-I/O in policy: warmth (limit from the cold figure upwards, at once back on a sign of a cold engine), fair (start-time fair queueing by plan share), gate (both together, refusals with a time to come back), lifecycle (statig), orders (level-triggered reconciler with fencing numbers). Ruled out: deficit round robin, because shares reach from 1 to 10,000 and costs are corrected after a call ended; a round would be very long or a quantum very coarse. A virtual time per customer does both in one step.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,4 +5,9 @@
 //! So the same code runs in the daemons, in tests and in the bench. See `docs/ARCHITECTURE.md`.
 
 pub mod age;
+pub mod fair;
+pub mod gate;
+pub mod lifecycle;
+pub mod orders;
 pub mod view;
+pub mod warmth;
