--- /dev/null
+++ b/crates/agent/src/args.rs
@@ -0,0 +1,39 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
+
+/// Runs the daemon with this settings file.
+pub const SETTINGS: &str = "settings";
+/// Checks this settings file.
+pub const CHECK: &str = "check-settings";
+/// Prints the settings' JSON Schema.
+pub const SCHEMA: &str = "print-schema";
+
+/// The whole command line.
+pub fn command() -> Command {
+    let file = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("FILE")
+            .value_parser(value_parser!(PathBuf))
+            .help(help)
+    };
+    Command::new("gypsum-agent")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("The last gate before an upstream, on the upstream's own VM")
+        .arg(file(SETTINGS, "Run with this settings file"))
+        .arg(file(CHECK, "Check this settings file and exit"))
+        .arg(
+            Arg::new(SCHEMA)
+                .long(SCHEMA)
+                .action(ArgAction::SetTrue)
+                .help("Print the JSON Schema of the settings and exit"),
+        )
+        .group(
+            ArgGroup::new("action")
+                .args([SETTINGS, CHECK, SCHEMA])
+                .required(true),
+        )
+}
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,3 +1,14 @@
-//! `gypsum-agent`.
+//! `gypsum-agent`: parses, runs, prints the error once.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = agent::args::command().get_matches();
+    match agent::cmd::dispatch(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("gypsum-agent: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/util.rs
@@ -0,0 +1,18 @@
+//! Little helpers.
+
+use domain::vm::Upstream;
+use settings::agent::Agent;
+
+use crate::error::Error;
+
+/// Checks what the schema can't say.
+///
+/// # Errors
+///
+/// If an engine has no spool.
+pub fn check(settings: &Agent) -> Result<(), Error> {
+    match (&settings.upstream, &settings.weights) {
+        (Upstream::Engine { .. }, None) => Err(Error::NoWeights),
+        _ => Ok(()),
+    }
+}
--- a/crates/domain/src/ledger.rs
+++ b/crates/domain/src/ledger.rs
@@ -22,6 +22,22 @@
     pub route: Arc<str>,
 }
 
+impl Key {
+    /// The key of a call. Entry and agent both build it here, so that they name the same call.
+    pub fn of_call(
+        customer: name::Customer,
+        idempotency_key: impl Into<Arc<str>>,
+        method: &str,
+        path: &str,
+    ) -> Self {
+        Self {
+            customer,
+            idempotency_key: idempotency_key.into(),
+            route: format!("{method} {path}").into(),
+        }
+    }
+}
+
 /// The agent that asks, and which start of it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Holder {
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -12,14 +12,15 @@
 use bytes::Bytes;
 use domain::{call::Attempt, header};
 use futures::future::BoxFuture;
-use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header as http_header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header as http_header};
 use http_body_util::Full;
+use hyper::body::Incoming;
 
 use crate::{
     body,
     connection::{Connection, Exchange, Freshness, Outgoing, Pool},
     error::{Error, TruncatedSnafu, UnsentSnafu},
-    monitor::{Line, Monitor},
+    monitor::{self, Monitor},
 };
 
 /// Headers of the caller that the service gets.
@@ -59,12 +60,20 @@
 
 /// A plain service.
 pub trait Service: Send + Sync {
-    /// Sends a call and waits for the whole answer.
+    /// Sends a call that may be repeated and waits for the whole answer.
     fn call(&self, call: Call) -> BoxFuture<'static, Result<Answer, Error>>;
+    /// Opens a connection for one call that may not be repeated.
+    fn open(&self) -> BoxFuture<'static, Result<Box<dyn Line>, Error>>;
     /// Opens a connection that shows the service's end.
     fn monitor(&self) -> BoxFuture<'static, Result<Box<dyn Monitor>, Error>>;
 }
 
+/// A connection of its own for one call, opened before the ledger is asked.
+pub trait Line: Send {
+    /// Sends the call and waits for the whole answer.
+    fn send(self: Box<Self>, call: Call) -> BoxFuture<'static, Result<Answer, Error>>;
+}
+
 /// A plain service reached over HTTP.
 #[derive(Clone)]
 pub struct Client {
@@ -83,9 +92,9 @@
 
     async fn run(self, call: Call) -> Result<Answer, Error> {
         let peer = self.pool.peer();
-        let freshness = match call.once_key.is_some() || !self.echoes.load(Ordering::Relaxed) {
-            true => Freshness::Fresh,
-            false => Freshness::Reused,
+        let freshness = match self.echoes.load(Ordering::Relaxed) {
+            true => Freshness::Reused,
+            false => Freshness::Fresh,
         };
         let (method, attempt) = (call.method.clone(), call.attempt.to_string());
         let request = outgoing(call, peer)?;
@@ -94,34 +103,78 @@
             response,
             connection,
         } = sent.inspect_err(|_| self.pool.clear())?;
-        let (head, body) = response.into_parts();
-        let echo = head.headers.get(header::ATTEMPT);
-        let has_echo = match echo.map(|value| value.to_str().unwrap_or_default()) {
-            Some(seen) if seen == attempt => true,
-            // Nobody else's answer can come on a connection of its own.
-            None if freshness == Freshness::Fresh => false,
-            seen => {
-                return Err(Error::Crossed {
-                    peer,
-                    expected: attempt,
-                    seen: seen.unwrap_or("no attempt").to_owned(),
-                });
-            }
-        };
-        if !body::has_end_marker(&method, head.status, &head.headers) {
-            let detail = "neither a length nor a last chunk";
-            return TruncatedSnafu { peer, detail }.fail();
-        }
-        let body = body::whole(body, peer, self.pool.patience()).await?;
+        let has_echo = check_echo(peer, &attempt, response.headers(), freshness)?;
+        let answer = read(peer, &method, response, self.pool.patience()).await?;
         self.echoes.store(has_echo, Ordering::Relaxed);
         if has_echo {
             self.pool.put(connection);
         }
-        Ok(Answer {
-            status: head.status,
-            content_type: head.headers.get(http_header::CONTENT_TYPE).cloned(),
-            body,
-        })
+        Ok(answer)
+    }
+}
+
+/// Whether the answer names the attempt. One that names none can only belong to it on a connection
+/// of its own.
+fn check_echo(
+    peer: SocketAddr,
+    attempt: &str,
+    headers: &HeaderMap,
+    freshness: Freshness,
+) -> Result<bool, Error> {
+    let echo = headers.get(header::ATTEMPT);
+    match echo.map(|value| value.to_str().unwrap_or_default()) {
+        Some(seen) if seen == attempt => Ok(true),
+        None if freshness == Freshness::Fresh => Ok(false),
+        seen => Err(Error::Crossed {
+            peer,
+            expected: attempt.to_owned(),
+            seen: seen.unwrap_or("no attempt").to_owned(),
+        }),
+    }
+}
+
+/// Reads an answer whole.
+async fn read(
+    peer: SocketAddr,
+    method: &Method,
+    response: Response<Incoming>,
+    patience: Duration,
+) -> Result<Answer, Error> {
+    let (head, body) = response.into_parts();
+    if !body::has_end_marker(method, head.status, &head.headers) {
+        let detail = "neither a length nor a last chunk";
+        return TruncatedSnafu { peer, detail }.fail();
+    }
+    let body = body::whole(body, peer, patience).await?;
+    Ok(Answer {
+        status: head.status,
+        content_type: head.headers.get(http_header::CONTENT_TYPE).cloned(),
+        body,
+    })
+}
+
+/// A connection of its own.
+struct Opened {
+    connection: Connection,
+    peer: SocketAddr,
+    patience: Duration,
+}
+
+impl Opened {
+    async fn run(mut self, call: Call) -> Result<Answer, Error> {
+        let peer = self.peer;
+        let (method, attempt) = (call.method.clone(), call.attempt.to_string());
+        let request = outgoing(call, peer)?;
+        let sent = self.connection.send(peer, request, self.patience).await;
+        let response = sent.map_err(|(error, _)| error)?;
+        check_echo(peer, &attempt, response.headers(), Freshness::Fresh)?;
+        read(peer, &method, response, self.patience).await
+    }
+}
+
+impl Line for Opened {
+    fn send(self: Box<Self>, call: Call) -> BoxFuture<'static, Result<Answer, Error>> {
+        Box::pin(self.run(call))
     }
 }
 
@@ -130,11 +183,23 @@
         Box::pin(self.clone().run(call))
     }
 
+    fn open(&self) -> BoxFuture<'static, Result<Box<dyn Line>, Error>> {
+        let (peer, patience) = (self.pool.peer(), self.pool.patience());
+        Box::pin(async move {
+            let connection = Connection::open(peer).await?;
+            Ok(Box::new(Opened {
+                connection,
+                peer,
+                patience,
+            }) as Box<dyn Line>)
+        })
+    }
+
     fn monitor(&self) -> BoxFuture<'static, Result<Box<dyn Monitor>, Error>> {
         let (peer, patience) = (self.pool.peer(), self.pool.patience());
         Box::pin(async move {
             let connection = Connection::open(peer).await?;
-            Ok(Box::new(Line::new(connection, peer, patience)) as Box<dyn Monitor>)
+            Ok(Box::new(monitor::Line::new(connection, peer, patience)) as Box<dyn Monitor>)
         })
     }
 }
