--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod site;
 pub mod util;
 pub mod watch;
+pub mod weights;
