Give the agent its spool

Cause: the daemon ran without the transfer of weights. Change: gypsum-agent opens the depot of agent::weights; the reconciler asks it only when what it wants or uses changes, since the engine's state comes four times a second. Conclusion: the daemon is whole, if untested against a real control.

--- a/crates/agent/src/cmd/run.rs
+++ b/crates/agent/src/cmd/run.rs
@@ -14,7 +14,7 @@
     status::{Page, Readiness},
 };
 use settings::{agent::Agent as Settings, file};
-use slog::error;
+use slog::{Logger, error};
 use snafu::ResultExt;
 use telemetry::{log::Root, metrics::Metrics as Registry};
 use tokio::sync::watch;
@@ -22,12 +22,14 @@
 use crate::{
     daemon::{Daemon, Surroundings},
     depot::Depot,
-    error::{Error, MetricsSnafu, PlatformSnafu, SettingsSnafu, SpoolSnafu, ThreadSnafu},
+    error::{
+        Error, MetricsSnafu, PlatformSnafu, SettingsSnafu, SpoolSnafu, ThreadSnafu, WeightsSnafu,
+    },
     feed::Feed,
     memory::Memory,
     metrics::Metrics,
     site::Site,
-    util,
+    util, weights,
 };
 
 /// Runs the daemon until it is told to end.
@@ -64,15 +66,23 @@
     let path = spool.unwrap_or(Path::new(""));
     let memory = Memory::open(spool, clock.wall_ms()).context(SpoolSnafu { path })?;
     let (presence, reports) = watch::channel(None::<Arc<Vm>>);
+    let dialer = Dialer::new(secret.clone());
     let config = uplink::Config {
         vm: settings.place.vm.clone(),
         control: settings.control.clone(),
-        dialer: Dialer::new(secret.clone()),
+        dialer: dialer.clone(),
         scope: Scope::Agent,
     };
     let uplink = Client::new(config, clock.clone(), Some(reports)).context(ThreadSnafu)?;
+    let depot = depot(
+        settings,
+        &uplink,
+        dialer,
+        clock.clone(),
+        root.logger.clone(),
+        &registry,
+    )?;
     let feed: Arc<dyn Feed> = Arc::new(uplink.clone());
-    let depot = depot(settings)?;
     let given = Surroundings {
         clock,
         feed,
@@ -100,8 +110,25 @@
 }
 
 /// The spool of an engine's agent.
-fn depot(_settings: &Settings) -> Result<Option<Arc<dyn Depot>>, Error> {
-    Ok(None)
+fn depot(
+    settings: &Settings,
+    uplink: &Client,
+    dialer: Dialer,
+    clock: Arc<dyn Clock>,
+    log: Logger,
+    registry: &Registry,
+) -> Result<Option<Arc<dyn Depot>>, Error> {
+    let Some(weights) = &settings.weights else {
+        return Ok(None);
+    };
+    let config = weights::Config {
+        weights: weights.clone(),
+        place: settings.place.clone(),
+        chunk_listen: settings.chunk_listen,
+    };
+    let roster = Arc::new(uplink.clone());
+    let depot = weights::Depot::new(config, roster, dialer, clock, log, registry);
+    Ok(Some(Arc::new(depot.context(WeightsSnafu)?)))
 }
 
 /// Whether the agent acts on calls and orders.
--- a/crates/agent/src/error.rs
+++ b/crates/agent/src/error.rs
@@ -30,6 +30,12 @@
         /// What was seen.
         source: std::io::Error,
     },
+    /// The transfer of weights can't start.
+    #[snafu(display("{source}"))]
+    Weights {
+        /// What was seen.
+        source: crate::weights::Error,
+    },
     /// A thread or the runtime could not be started.
     #[snafu(display("could not start a thread: {source}"))]
     Thread {
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use domain::{artifact, order::Order, vm::Holding};
+use domain::{artifact, manifest::Pin, order::Order, vm::Holding};
 use parking_lot::Mutex;
 use policy::{
     lifecycle::Event,
@@ -44,6 +44,14 @@
     refresh: Refresh,
     holdings: watch::Sender<Arc<Holdings>>,
     loading: Mutex<Option<artifact::Id>>,
+    asked: Mutex<Asked>,
+}
+
+/// What the spool was last asked for.
+#[derive(Default)]
+struct Asked {
+    wanted: Option<BTreeMap<artifact::Id, Pin>>,
+    in_use: Vec<artifact::Id>,
 }
 
 impl Orders {
@@ -67,6 +75,7 @@
             refresh,
             holdings: watch::Sender::new(Arc::default()),
             loading: Mutex::new(None),
+            asked: Mutex::default(),
         }
     }
 
@@ -119,8 +128,7 @@
         let is_fresh = feed.is_fresh(now, self.site.max_feed_age);
         let view = &feed.view;
         if is_fresh {
-            let wanted = self.reconciler.lock().wanted(view);
-            self.depot.want(wanted);
+            self.want(self.reconciler.lock().wanted(view));
         }
         self.publish(view, spool, state);
         let facts = Facts {
@@ -144,7 +152,7 @@
         let mut in_use: Vec<_> = served.keys().cloned().collect();
         let loading = self.loading.lock().clone();
         in_use.extend(loading.clone());
-        self.depot.set_in_use(in_use);
+        self.use_versions(in_use);
         let event = match served.is_empty() {
             true => Event::Unserved,
             false => Event::Serving,
@@ -163,6 +171,24 @@
         });
     }
 
+    /// Tells the spool what to hold, when that changes.
+    fn want(&self, wanted: BTreeMap<artifact::Id, Pin>) {
+        let mut asked = self.asked.lock();
+        if asked.wanted.as_ref() != Some(&wanted) {
+            self.depot.want(wanted.clone());
+            asked.wanted = Some(wanted);
+        }
+    }
+
+    /// Tells the spool what must stay, when that changes.
+    fn use_versions(&self, in_use: Vec<artifact::Id>) {
+        let mut asked = self.asked.lock();
+        if asked.in_use != in_use {
+            self.depot.set_in_use(in_use.clone());
+            asked.in_use = in_use;
+        }
+    }
+
     async fn give(&self, order: Fenced, view: &View, spool: &BTreeMap<artifact::Id, Spooled>) {
         let log = &self.site.log;
         let remembered = self.memory.lock().remember(order.fence);
