Ask beyond the upload budget once the last holder's budget can't pay a chunk

In a run of the whole path with 6 engines, 8 chunks of 1 MB and 3 regions, one agent stayed at 7 of 8 chunks for 90 s while all others held them. Cause: asker and holder judged the budget by different rules. The asker took a holder that had sent less than 110 % for one with budget and asked it to answer only within it; the holder refused because the chunk itself would pass 110 %. With few large chunks that state never ends. Ruled out: a lost wake-up (the loop also runs each 100 ms) and a leaked fetch number (each fetch reports).

Both sides now count the chunk, and a chunk refused three times is asked for without regard to the budget, since what a holder said may be old.

Found on the way: a chunk that came after its version was dropped counted as verified without being written, which a version wanted again could have taken for held. It now has its own outcome. A version without a chunk for 10 s is logged with what is missing, offered and in flight.

--- a/crates/agent/src/weights/driver.rs
+++ b/crates/agent/src/weights/driver.rs
@@ -1,7 +1,7 @@
 //! The thread: takes commands, follows the members, and starts what the swarm decides.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     net::TcpListener,
     rc::Rc,
@@ -9,7 +9,11 @@
     time::Duration,
 };
 
-use domain::{artifact, clock::Clock, manifest::Pin};
+use domain::{
+    artifact,
+    clock::{Clock, Instant},
+    manifest::Pin,
+};
 use peer::{connection::Dialer, server::Server};
 use policy::swarm::Watch;
 use slog::{Logger, error, info, warn};
@@ -34,6 +38,9 @@
 /// The time between two looks at what time alone changes.
 const TICK: Duration = Duration::from_millis(100);
 
+/// How long a version may go without a chunk before that is logged, each time.
+const STALL_WARNING: Duration = Duration::from_secs(10);
+
 /// What the thread is made of.
 pub(super) struct Parts {
     pub(super) config: Config,
@@ -59,6 +66,7 @@
     let driver = Rc::new(Driver {
         core,
         watches: RefCell::default(),
+        warned_at: Cell::default(),
     });
     driver.take_members(&*roster);
     let mut changes = roster.changes();
@@ -101,6 +109,7 @@
 struct Driver {
     core: Rc<Core>,
     watches: RefCell<BTreeMap<Watch, AbortHandle>>,
+    warned_at: Cell<Instant>,
 }
 
 impl Driver {
@@ -244,6 +253,21 @@
             spawn_local(fetch::run(self.core.clone(), fetch));
         }
         self.watch(watches);
+        self.warn(now);
+    }
+
+    /// Logs versions that make no progress, so that an operator sees them before a caller does.
+    fn warn(&self, now: Instant) {
+        if now.since(self.warned_at.get()) < STALL_WARNING {
+            return;
+        }
+        self.warned_at.set(now);
+        let state = self.core.state.borrow();
+        for stall in state.swarm.stalls(STALL_WARNING, now) {
+            warn!(self.core.logger, "weights: no chunk for {} s", stall.idle.as_secs();
+                "manifest" => %stall.manifest, "missing" => stall.missing,
+                "offered" => stall.offered, "in_flight" => stall.in_flight);
+        }
     }
 
     fn watch(&self, wanted: BTreeSet<Watch>) {
--- a/crates/agent/src/weights/fetch.rs
+++ b/crates/agent/src/weights/fetch.rs
@@ -95,7 +95,7 @@
     core.traffic.add(flow(fetch), length);
     let digest = fetch.chunk.digest;
     if !core.state.borrow().swarm.is_wanted(&digest) {
-        return Outcome::Verified;
+        return Outcome::Unwanted;
     }
     let spool = core.spool.clone();
     let written = block(move || match Digest::of(&bytes) == digest {
@@ -168,5 +168,6 @@
         Outcome::Busy(_) => "busy",
         Outcome::Failed => "failed",
         Outcome::Refused => "refused",
+        Outcome::Unwanted => "unwanted",
     }
 }
--- a/crates/agent/tests/weights.rs
+++ b/crates/agent/tests/weights.rs
@@ -15,3 +15,15 @@
     let copies = fleet.origin_copies(spec.bytes);
     assert!(copies <= 1.2, "{copies} copies from the origin");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn few_large_chunks_reach_a_small_fleet() {
+    // One chunk is a large part of the upload budget here.
+    for round in 0..4 {
+        let spec = spec(&format!("v{round}"), 8);
+        let fleet = Fleet::new([]).await.with_nodes(6, 3);
+        let pin = fleet.origin.add(&spec);
+        fleet.want(&[(spec.artifact.clone(), pin)]);
+        fleet.wait_held(&spec.artifact).await;
+    }
+}
--- a/crates/fakes/src/origin/server.rs
+++ b/crates/fakes/src/origin/server.rs
@@ -122,6 +122,11 @@
         self.shared.library.lock().add(spec)
     }
 
+    /// The manifest of a version, as it is served.
+    pub fn manifest(&self, artifact: &artifact::Id) -> Option<Bytes> {
+        self.shared.library.lock().manifest(artifact)
+    }
+
     /// Sets the faults from now on.
     pub fn set_faults(&self, faults: impl IntoIterator<Item = Fault>) {
         self.shared.faults.lock().set(faults.into_iter().collect());
--- a/crates/policy/src/swarm.rs
+++ b/crates/policy/src/swarm.rs
@@ -12,6 +12,6 @@
 pub mod version;
 
 pub use bits::Bits;
-pub use machine::{Config, Fetch, Outcome, Swarm, Watch};
+pub use machine::{Config, Fetch, Outcome, Stall, Swarm, Watch};
 pub use source::Source;
 pub use version::Offer;
--- a/crates/policy/src/swarm/machine.rs
+++ b/crates/policy/src/swarm/machine.rs
@@ -80,6 +80,23 @@
     Failed,
     /// The source could not be reached or refused. No bytes came.
     Refused,
+    /// No version had the chunk any more when it came, and it was not kept.
+    Unwanted,
+}
+
+/// A version that makes no progress.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stall {
+    /// The manifest.
+    pub manifest: Digest,
+    /// How many chunks are missing.
+    pub missing: usize,
+    /// How many of those some peer offers.
+    pub offered: usize,
+    /// How many fetches of any version are running.
+    pub in_flight: usize,
+    /// The time since the last chunk.
+    pub idle: Duration,
 }
 
 pub(crate) struct Task {
@@ -97,6 +114,8 @@
     pub(crate) standings: Standings,
     pub(crate) tasks: BTreeMap<u64, Task>,
     pub(crate) in_flight: BTreeSet<Digest>,
+    /// How often busy holders refused a chunk that is still missing.
+    pub(crate) refusals: HashMap<Digest, u32>,
     /// The longest that a chunk took lately; patience follows it when links are slow.
     pub(crate) slowest: Duration,
     pub(crate) jitter: f64,
@@ -117,6 +136,7 @@
             standings: Standings::default(),
             tasks: BTreeMap::new(),
             in_flight: BTreeSet::new(),
+            refusals: HashMap::new(),
             slowest: Duration::ZERO,
             jitter,
             index: HashMap::new(),
@@ -207,6 +227,28 @@
         Some(self.versions.get(manifest)?.chunks.len())
     }
 
+    /// The versions that got no chunk for `patience`.
+    pub fn stalls(&self, patience: Duration, now: Instant) -> Vec<Stall> {
+        self.versions
+            .values()
+            .filter(|version| !version.held.is_full())
+            .filter(|version| now.since(version.progress_at) >= patience)
+            .map(|version| Stall {
+                manifest: version.manifest,
+                missing: version.held.missing().count(),
+                offered: version
+                    .held
+                    .missing()
+                    .filter(|index| {
+                        version.local_holders(*index) > 0 || version.remote_holders(*index) > 0
+                    })
+                    .count(),
+                in_flight: self.tasks.len(),
+                idle: now.since(version.progress_at),
+            })
+            .collect()
+    }
+
     /// The sessions that should be open.
     pub fn watches(&self, now: Instant) -> BTreeSet<Watch> {
         self.versions
@@ -257,9 +299,11 @@
             }
             Outcome::Busy(retry) => {
                 self.standings.defer(&task.source, retry, now);
+                *self.refusals.entry(task.digest).or_default() += 1;
                 self.give_back(&task);
             }
             Outcome::Failed => self.standings.fail(&task.source, now),
+            Outcome::Unwanted => {}
             Outcome::Refused => {
                 self.standings.fail(&task.source, now);
                 self.give_back(&task);
@@ -269,6 +313,7 @@
 
     /// A chunk is verified, from wherever it came.
     pub fn hold(&mut self, chunk: &Digest, now: Instant) {
+        self.refusals.remove(chunk);
         for (manifest, place) in self.index.get(chunk).into_iter().flatten() {
             let Some(version) = self.versions.get_mut(manifest) else {
                 continue;
--- a/crates/policy/src/swarm/pick.rs
+++ b/crates/policy/src/swarm/pick.rs
@@ -17,6 +17,8 @@
 const REMOTE_IN_FLIGHT: usize = 2;
 /// How many chunks an agent asks of one peer at once.
 const PEER_IN_FLIGHT: usize = 2;
+/// How often a chunk is refused for budget before it is asked for beyond the budget.
+const MAX_REFUSALS: u32 = 3;
 /// How long an agent waits for its peers' first answers before it draws from the origin.
 const FIRST_ANSWERS: std::time::Duration = std::time::Duration::from_secs(1);
 /// The backlog of chunks from other regions beyond which some come straight from the origin.
@@ -265,16 +267,20 @@
         is_remote: bool,
         now: Instant,
     ) -> Option<name::Vm> {
+        let bytes = u64::from(version.chunks[index].bytes);
         self.usable_holders(version, index, is_remote, now)
             .min_by_key(|(vm, sent)| {
                 let source = Source::Peer(name::Vm::clone(vm));
-                let is_spent = *sent >= self.budget(version);
+                let is_spent = *sent + bytes > self.budget(version);
                 (is_spent, self.standings.in_flight(&source), *sent)
             })
             .map(|(vm, _)| vm.clone())
     }
 
-    /// Whether some holder still has budget, or another one may have it soon.
+    /// Whether some holder still has budget for the chunk.
+    ///
+    /// A chunk that was refused a few times is asked for without regard to the budget, because
+    /// what holders said of it may be old.
     fn has_spare_holder(
         &self,
         version: &Version,
@@ -282,8 +288,16 @@
         is_remote: bool,
         now: Instant,
     ) -> bool {
-        self.usable_holders(version, index, is_remote, now)
-            .any(|(_, sent)| sent < self.budget(version))
+        let chunk = &version.chunks[index];
+        let refusals = self
+            .refusals
+            .get(&chunk.digest)
+            .copied()
+            .unwrap_or_default();
+        refusals < MAX_REFUSALS
+            && self
+                .usable_holders(version, index, is_remote, now)
+                .any(|(_, sent)| sent + u64::from(chunk.bytes) <= self.budget(version))
     }
 
     fn budget(&self, version: &Version) -> u64 {
