Test the replicated log over a simulated network, and mend what that found

Random drops, duplicates, delays, crashes with loss of what is not synced, lost disks, freezes, one-way partitions and swaps of members; checked are one leader a term, one log for all, no reverting commit index, ages that are upper bounds, and that a healed group works again. Found by it, each seen as a failing seed before the change: - the answer to a message of an older term echoed its round, and a leader of the newer term took it for an answer to its own rounds: it claimed an age of 0 ns with 527 of 530 entries applied; - a leader replaced in a group of one stepped down with the only copy of the entry that removes it, and nobody could lead again; a replica that is being removed may now lead until then; - a replica that was replaced while it was away never learned of it; one that hears no leader now asks for admission; - a learner that heard no leader for long went on believing in the old one and never asked; - one replica could take two voters' places when an operator named another voter than the one at its address, which left a dead voter behind; - a candidate counted its own vote before that was durable, so a term could be led twice in memory.

--- a/crates/control/src/replication/join.rs
+++ b/crates/control/src/replication/join.rs
@@ -1,6 +1,10 @@
 //! How a replica finds its place: it helps to form a group, or asks an existing one to admit it.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use futures::future::join_all;
 use peer::replica::Hello;
@@ -16,15 +20,16 @@
 pub(super) async fn run(core: &Core) {
     loop {
         time::sleep(PERIOD).await;
-        let (group, is_member) = {
+        let (group, is_lost) = {
             let replica = core.replica();
             let members = replica.members().addresses();
-            let identity = replica.seat().identity;
-            (replica.group(), members.contains_key(&identity))
+            let is_member = members.contains_key(&replica.seat().identity);
+            // A replica that hears no leader may have been replaced without knowing.
+            (replica.group(), !is_member || replica.leader().is_none())
         };
         match group {
             0 => form(core).await,
-            _ if !is_member => ask(core).await,
+            _ if is_lost => ask(core).await,
             _ => {}
         }
     }
@@ -75,8 +80,10 @@
 /// Asks the first replica that knows a leader to admit this one.
 async fn ask(core: &Core) {
     let seat = core.replica().seat();
-    for other in core.replicas.iter().filter(|other| **other != seat.address) {
-        let link = core.link(*other);
+    let members = core.replica().members().addresses().into_values();
+    let known: BTreeSet<SocketAddr> = members.chain(core.replicas.iter().copied()).collect();
+    for other in known.into_iter().filter(|other| *other != seat.address) {
+        let link = core.link(other);
         let answer = link
             .call(async |session| session.admit(seat.identity, seat.address, None).await)
             .await;
--- a/crates/policy/src/replica/core.rs
+++ b/crates/policy/src/replica/core.rs
@@ -91,6 +91,7 @@
     free: Vec<Message>,
     held: Vec<Message>,
     writing: Option<Vec<Message>>,
+    trailing: u64,
 }
 
 impl Replica {
@@ -133,9 +134,17 @@
             free: Vec::new(),
             held: Vec::new(),
             writing: None,
+            trailing: TRAILING_ENTRIES,
         }
     }
 
+    /// Sets how many entries are kept behind a snapshot.
+    #[must_use]
+    pub fn with_trailing(mut self, entries: u64) -> Self {
+        self.trailing = entries;
+        self
+    }
+
     /// Takes a message from another replica.
     pub fn step(&mut self, now: Instant, message: Message) {
         if message.to != self.seat.identity || !self.is_own_group(&message) {
@@ -238,9 +247,8 @@
         if self.log.term_at(last.index) == Some(last.term) {
             self.persisted = self.persisted.max(last.index);
         }
-        if matches!(self.role, Role::Leader(_)) {
-            self.update_commit(now);
-        }
+        self.vote_for_itself(now);
+        self.update_commit(now);
     }
 
     /// Puts the applied state, coded by the caller, in place of the entries that made it.
@@ -257,7 +265,7 @@
         self.roster.compact(index);
         self.log.compact(
             index
-                .saturating_sub(TRAILING_ENTRIES)
+                .saturating_sub(self.trailing)
                 .max(self.log.base().index),
         );
         self.unsaved.snapshot = true;
--- a/crates/policy/src/replica/election.rs
+++ b/crates/policy/src/replica/election.rs
@@ -4,7 +4,7 @@
 
 use domain::{
     clock::Instant,
-    replica::{Body, Identity, Mark, Message, Payload},
+    replica::{Body, Identity, Mark, Members, Message, Payload},
 };
 
 use super::{Replica, core::Role, progress::Leader, quorum};
@@ -31,10 +31,10 @@
     /// from a partition doesn't depose a leader that the others still hear.
     pub(super) fn campaign(&mut self, now: Instant) {
         self.postpone(now);
-        if !self.roster.current().is_voter(self.seat.identity) {
+        self.leader = None;
+        if !self.may_campaign() {
             return;
         }
-        self.leader = None;
         self.role = Role::PreCandidate {
             granted: BTreeSet::from([self.seat.identity]),
         };
@@ -49,6 +49,15 @@
         self.count_votes(now);
     }
 
+    /// A replica that a change removes may still be the only one that has the entry of the change,
+    /// so it may lead until that entry is committed.
+    fn may_campaign(&self) -> bool {
+        let is_voter = |members: &Members| members.is_voter(self.seat.identity);
+        let is_open = self.roster.index() > self.commit;
+        is_voter(self.roster.current())
+            || is_open && is_voter(&self.roster.at(self.roster.index() - 1))
+    }
+
     pub(super) fn on_pre_vote(
         &mut self,
         now: Instant,
@@ -118,8 +127,10 @@
     pub(super) fn on_stale(&mut self, from: Identity, body: &Body) {
         match body {
             Body::Vote { .. } => self.reply(from, Body::VoteReply { is_granted: false }),
-            Body::Append { round, .. } | Body::Install { round, .. } => {
-                let (round, index) = (*round, self.log.last().index);
+            Body::Append { .. } | Body::Install { .. } => {
+                let index = self.log.last().index;
+                // The sender may lead the newer term by now, and count rounds from the start.
+                let round = 0;
                 self.reply(
                     from,
                     Body::AppendReply {
@@ -142,7 +153,7 @@
             Role::PreCandidate { granted }
                 if quorum::is_reached(members, |id| granted.contains(&id)) =>
             {
-                self.stand(now);
+                self.stand();
             }
             Role::Candidate { granted }
                 if quorum::is_reached(members, |id| granted.contains(&id)) =>
@@ -153,18 +164,28 @@
         }
     }
 
-    fn stand(&mut self, now: Instant) {
+    fn stand(&mut self) {
         self.hard.term += 1;
         self.hard.vote = Some(self.seat.identity);
         self.unsaved.hard = true;
         self.role = Role::Candidate {
-            granted: BTreeSet::from([self.seat.identity]),
+            granted: BTreeSet::new(),
         };
         let last = self.log.last();
         for to in self.other_voters() {
             self.reply(to, Body::Vote { last });
         }
-        self.count_votes(now);
+    }
+
+    /// Counts the own vote once it is durable.
+    pub(super) fn vote_for_itself(&mut self, now: Instant) {
+        match &mut self.role {
+            Role::Candidate { granted } if self.persisted_term == self.hard.term => {
+                granted.insert(self.seat.identity);
+                self.count_votes(now);
+            }
+            _ => {}
+        }
     }
 
     fn take_lead(&mut self, now: Instant) {
--- a/crates/policy/src/replica/membership.rs
+++ b/crates/policy/src/replica/membership.rs
@@ -46,7 +46,7 @@
     pub identity: Identity,
     /// Where it listens.
     pub address: SocketAddr,
-    /// The voter whose place it takes, if not the one at its address.
+    /// The voter whose place it takes if there is none at its address.
     pub replaces: Option<Identity>,
 }
 
@@ -64,12 +64,14 @@
         }
         let members = self.roster.current();
         let identity = candidate.identity;
+        // Only one replica listens at an address: a voter that was there is gone, and the
+        // learner takes its place without being told.
         let target = candidate
             .replaces
-            .or_else(|| voter_at(members, candidate.address))
-            .filter(|old| members.voters.contains_key(old));
+            .filter(|old| members.voters.contains_key(old))
+            .filter(|_| voter_at(members, candidate.address).is_none());
         let is_known = members.learners.get(&identity) == Some(&candidate.address)
-            && members.swaps.get(&identity) == target.as_ref();
+            && (target.is_none() || members.swaps.get(&identity) == target.as_ref());
         match () {
             () if members.voters.contains_key(&identity) && self.is_settled() => {
                 return Ok(Admission::Voter);
@@ -147,11 +149,14 @@
                     && answered.is_some_and(|span| span < self.timing.election())
             })
         };
-        let swaps = &self.roster.current().swaps;
-        swaps
-            .iter()
-            .find(|(learner, _)| is_ready(learner))
-            .map(|(learner, old)| (*learner, *old))
+        let members = self.roster.current();
+        let swap = |learner: &Identity| {
+            let address = members.learners.get(learner)?;
+            let old = voter_at(members, *address).or(members.swaps.get(learner).copied())?;
+            members.voters.contains_key(&old).then_some((*learner, old))
+        };
+        let mut ready = members.learners.keys().filter(|id| is_ready(id));
+        ready.find_map(swap)
     }
 }
 
@@ -184,7 +189,9 @@
 fn with_swap(mut members: Members, learner: Identity, old: Identity) -> Members {
     members.outgoing = members.voters.clone();
     members.voters.remove(&old);
-    members.swaps.remove(&learner);
+    members
+        .swaps
+        .retain(|id, other| *id != learner && *other != old);
     if let Some(address) = members.learners.remove(&learner) {
         members.voters.insert(learner, address);
     }
--- a/crates/policy/src/replica/saved.rs
+++ b/crates/policy/src/replica/saved.rs
@@ -5,6 +5,8 @@
 use domain::replica::{Entry, Identity, Mark, Snapshot};
 use serde::{Deserialize, Serialize};
 
+use super::Batch;
+
 /// What must be durable before any answer that depends on it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hard {
@@ -30,3 +32,21 @@
     /// The log after `base`.
     pub entries: Vec<Entry>,
 }
+
+impl Saved {
+    /// Takes a batch as a disk does: what a store must hold after it.
+    pub fn apply(&mut self, batch: &Batch) {
+        self.hard = batch.hard;
+        if let Some(from) = batch.truncate_from {
+            self.entries.retain(|entry| entry.index < from);
+        }
+        self.entries.extend(batch.entries.iter().cloned());
+        if let Some(base) = batch.base {
+            self.entries.retain(|entry| entry.index > base.index);
+            self.base = base;
+        }
+        if let Some(snapshot) = &batch.snapshot {
+            self.snapshot = Some(snapshot.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/replica/host.rs
@@ -0,0 +1,176 @@
+//! One VM: a replica, its disk and its clockless shell.
+
+use std::{convert::Infallible, net::SocketAddr};
+
+use domain::{
+    clock::Instant,
+    replica::{Identity, Message},
+};
+use policy::{
+    age::Bound,
+    replica::{Part, Replica, Saved, Seat, Timing, Write},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use crate::history::{History, decode, encode, number};
+
+/// A write under way.
+pub(crate) struct Writing {
+    write: Write,
+    pub(crate) done_at: Instant,
+}
+
+pub(crate) struct Host {
+    pub(crate) address: SocketAddr,
+    pub(crate) identity: Identity,
+    disk: Saved,
+    pub(crate) replica: Option<Replica>,
+    pub(crate) writing: Option<Writing>,
+    pub(crate) numbers: Vec<u64>,
+    pub(crate) frozen_until: Instant,
+    pub(crate) bound: Bound,
+}
+
+impl Host {
+    pub(crate) fn new(address: SocketAddr, identity: Identity) -> Self {
+        Self {
+            address,
+            identity,
+            disk: Saved::default(),
+            replica: None,
+            writing: None,
+            numbers: Vec::new(),
+            frozen_until: Instant::ZERO,
+            bound: Bound::UNKNOWN,
+        }
+    }
+
+    pub(crate) fn is_up(&self, now: Instant) -> bool {
+        self.replica.is_some() && self.frozen_until <= now
+    }
+
+    pub(crate) fn is_leader(&self) -> bool {
+        let replica = self.replica.as_ref();
+        replica.is_some_and(|replica| replica.part() == Part::Leader)
+    }
+
+    /// The group on the disk or in memory.
+    pub(crate) fn group(&self) -> u64 {
+        let replica = self.replica.as_ref();
+        replica.map_or(self.disk.hard.group, Replica::group)
+    }
+
+    pub(crate) fn start(&mut self, now: Instant, timing: Timing, rng: &mut StdRng) {
+        let seat = Seat {
+            identity: self.identity,
+            address: self.address,
+        };
+        let own = StdRng::seed_from_u64(rng.random());
+        let replica = Replica::new(seat, timing, self.disk.clone(), own, now).with_trailing(3);
+        self.replica = Some(replica);
+        self.numbers.clear();
+    }
+
+    /// Power fails. A write under way is lost, or done without anybody having heard of it.
+    pub(crate) fn crash(&mut self, is_written: bool) {
+        if let Some(writing) = self.writing.take().filter(|_| is_written) {
+            let _ = self.persist(writing.write);
+        }
+        self.replica = None;
+        self.bound = Bound::UNKNOWN;
+    }
+
+    /// The disk is gone: what starts next has another identity.
+    pub(crate) fn lose_disk(&mut self, identity: Identity) {
+        self.crash(false);
+        self.disk = Saved::default();
+        self.identity = identity;
+    }
+
+    /// Ends the write under way.
+    pub(crate) fn finish_write(&mut self, now: Instant) {
+        let Some(writing) = self.writing.take() else {
+            return;
+        };
+        let synced = self.persist(writing.write);
+        if let Some(replica) = &mut self.replica {
+            replica.advance(now, synced);
+        }
+    }
+
+    fn persist(&mut self, write: Write) -> policy::replica::Synced {
+        let disk = &mut self.disk;
+        let before = disk.hard;
+        let Ok(synced) = write.persist(|batch| {
+            disk.apply(batch);
+            Ok::<(), Infallible>(())
+        });
+        let after = disk.hard;
+        assert!(after.term >= before.term, "the term fell");
+        assert!(after.commit >= before.commit, "the commit index fell");
+        let has_changed = after.vote != before.vote && before.vote.is_some();
+        assert!(!has_changed || after.term > before.term, "a vote changed");
+        synced
+    }
+
+    /// Does what the replica asks for, and returns what it says.
+    pub(crate) fn pump(
+        &mut self,
+        now: Instant,
+        history: &mut History,
+        snapshot_entries: u64,
+        write_until: Instant,
+    ) -> Vec<Message> {
+        let mut messages = Vec::new();
+        let Some(replica) = &mut self.replica else {
+            return messages;
+        };
+        loop {
+            let ready = replica.ready();
+            if ready.is_empty() {
+                break;
+            }
+            if let Some(write) = ready.write {
+                assert!(self.writing.is_none(), "two writes at once");
+                let done_at = write_until;
+                self.writing = Some(Writing { write, done_at });
+            }
+            messages.extend(ready.messages);
+            if let Some(snapshot) = ready.restore {
+                history.restored(&snapshot);
+                self.numbers = decode(&snapshot.state);
+            }
+            for entry in ready.committed {
+                history.applied(now, &entry);
+                self.numbers.extend(number(&entry.payload));
+            }
+            if replica.applied() >= replica.snapshot_index() + snapshot_entries {
+                replica.compact(encode(&self.numbers));
+            }
+        }
+        if replica.part() == Part::Leader {
+            history.leads(replica.term(), self.identity);
+        }
+        messages
+    }
+
+    /// Nobody may take a state for fresher than it is.
+    pub(crate) fn check_age(&self, now: Instant, history: &History) {
+        let Some(replica) = &self.replica else {
+            return;
+        };
+        let ages = [replica.age(now), self.bound.age(now)];
+        for age in ages.into_iter().flatten() {
+            let accepted = history.accepted_at(now - age);
+            let applied = replica.applied();
+            assert!(
+                applied >= accepted,
+                "{accepted} entries were accepted {age:?} ago, but {applied} are applied at {} as {:?} by {:?}, {:?}",
+                self.identity,
+                replica.part(),
+                ages,
+                replica.members(),
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/replica/main.rs
@@ -0,0 +1,61 @@
+//! The replicated log over a simulated network, clock and disk.
+
+#![allow(clippy::unwrap_used)]
+
+mod history;
+mod host;
+mod plan;
+mod world;
+
+use std::{
+    env,
+    time::{Duration, Instant},
+};
+
+use bolero::check;
+
+use crate::{plan::Plan, world::World};
+
+fn run(seed: u64) {
+    let mut world = World::new(seed, Plan::draw(seed));
+    world.run();
+    world.heal();
+}
+
+/// `BOLERO_RANDOM_SEED` and `BOLERO_RANDOM_ITERATIONS` fix the seeds.
+#[test]
+fn random_faults_break_no_promise() {
+    check!().with_type::<u64>().for_each(|seed| run(*seed));
+}
+
+#[test]
+fn known_seeds_break_no_promise() {
+    (0..64).for_each(run);
+}
+
+/// Runs new seeds for `SOAK_SECONDS`, or the one in `SOAK_SEED`. Without either it runs one.
+#[test]
+fn soak() {
+    let number = |name| {
+        env::var(name)
+            .ok()
+            .and_then(|text| text.parse::<u64>().ok())
+    };
+    if let Some(seed) = number("SOAK_SEED") {
+        return run(seed);
+    }
+    let limit = Duration::from_secs(number("SOAK_SECONDS").unwrap_or_default());
+    let started = Instant::now();
+    let mut count = 0u64;
+    loop {
+        let seed = rand::random();
+        // The test's output names the seed if it fails.
+        println!("seed {seed}");
+        run(seed);
+        count += 1;
+        if started.elapsed() >= limit {
+            break;
+        }
+    }
+    println!("{count} seeds in {:?}", started.elapsed());
+}
--- /dev/null
+++ b/crates/policy/tests/replica/plan.rs
@@ -0,0 +1,45 @@
+//! Which faults a run has, and how often.
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+/// Chances are per host or message and step.
+#[derive(Debug)]
+pub(crate) struct Plan {
+    pub(crate) voters: usize,
+    pub(crate) spares: usize,
+    pub(crate) steps: usize,
+    pub(crate) drop: f64,
+    pub(crate) duplicate: f64,
+    pub(crate) max_delay_ms: u64,
+    pub(crate) max_write_ms: u64,
+    pub(crate) crash: f64,
+    pub(crate) lose_disk: f64,
+    pub(crate) freeze: f64,
+    pub(crate) partition: f64,
+    pub(crate) replace: f64,
+    pub(crate) propose: f64,
+    pub(crate) snapshot_entries: u64,
+}
+
+impl Plan {
+    pub(crate) fn draw(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed ^ 0x9e37_79b9_7f4a_7c15);
+        let pick = |rng: &mut StdRng, rates: [f64; 3]| rates[rng.random_range(0..3)];
+        Self {
+            voters: [1, 3, 3, 3, 4, 5][rng.random_range(0..6)],
+            spares: rng.random_range(0..3),
+            steps: 2_500,
+            drop: pick(&mut rng, [0.0, 0.02, 0.2]),
+            duplicate: pick(&mut rng, [0.0, 0.02, 0.2]),
+            max_delay_ms: [2, 20, 300][rng.random_range(0..3)],
+            max_write_ms: [1, 10, 200][rng.random_range(0..3)],
+            crash: pick(&mut rng, [0.0, 0.002, 0.01]),
+            lose_disk: pick(&mut rng, [0.0, 0.001, 0.005]),
+            freeze: pick(&mut rng, [0.0, 0.002, 0.01]),
+            partition: pick(&mut rng, [0.0, 0.005, 0.02]),
+            replace: pick(&mut rng, [0.0, 0.005, 0.02]),
+            propose: pick(&mut rng, [0.05, 0.2, 0.8]),
+            snapshot_entries: [5, 20, 1_000][rng.random_range(0..3)],
+        }
+    }
+}
