--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,26 @@
 //! and a passed-in [`domain::clock::Instant`], outputs are values, and generators are handed in.
 //! So the same code runs in the daemons, in tests and in the bench. See `docs/ARCHITECTURE.md`.
 
+pub mod affinity;
 pub mod age;
+pub mod changes;
+pub mod fair;
+pub mod gate;
+pub mod ledger;
+pub mod lifecycle;
+pub mod membership;
+pub mod orders;
+pub mod owner;
+pub mod pacer;
 pub mod replica;
+pub mod resolve;
+pub mod retry;
+pub mod rollout;
+pub mod router;
+pub mod spool;
+pub mod sse;
+pub mod state;
+pub mod suspicion;
+pub mod swarm;
 pub mod view;
+pub mod warmth;
