--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,9 +6,19 @@
 
 pub mod affinity;
 pub mod age;
+pub mod changes;
+pub mod ledger;
+pub mod membership;
+pub mod owner;
+pub mod pacer;
+pub mod replica;
 pub mod resolve;
 pub mod retry;
+pub mod rollout;
 pub mod router;
+pub mod spool;
 pub mod sse;
+pub mod state;
 pub mod suspicion;
+pub mod swarm;
 pub mod view;
