--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -135,7 +135,8 @@
 
 #[test]
 fn only_who_may_take_the_call_is_chosen() {
-    let cases: Vec<(&str, Box<dyn Fn(&mut Vm)>)> = vec![
+    type Change = Box<dyn Fn(&mut Vm)>;
+    let cases: Vec<(&str, Change)> = vec![
         (
             "draining",
             Box::new(|vm| vm.status.lifecycle = Lifecycle::Draining),
@@ -245,7 +246,7 @@
         "it is the same after a restart"
     );
     let gone = first[5].clone();
-    let smaller = apply(&view, vec![Delta::Remove(Key::Vm(gone.clone()))]);
+    let smaller = apply(&view, vec![Delta::Remove(Key::Vm(gone))]);
     let second = members(&mut Router::new(config(32)), &smaller);
     let kept = first.iter().filter(|vm| second.contains(vm)).count();
     assert_eq!(
