--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,13 +6,13 @@
 
 pub mod affinity;
 pub mod age;
+pub mod changes;
 pub mod fair;
 pub mod gate;
-pub mod lifecycle;
-pub mod orders;
-pub mod changes;
 pub mod ledger;
+pub mod lifecycle;
 pub mod membership;
+pub mod orders;
 pub mod owner;
 pub mod pacer;
 pub mod replica;
