Notice a cold engine from one late first token, and forgive false alarms

Cause: an engine that turned cold without warning got one call too many. Change: at 3 times usual plus 10 ms the limit falls at once, stretched for prompts longer than usual. Since that bound is narrow, the limit comes back at once when the next 4 first tokens come as usual; 64 late ones are learnt as the new usual.

--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -5,7 +5,6 @@
 use domain::clock::{Clock, Instant};
 use parking_lot::Mutex;
 use policy::{
-    fair::Owner,
     gate::{self, Call, End, Load, Refusal, Ticket},
     warmth::Sign,
 };
@@ -82,19 +81,10 @@
     /// # Errors
     ///
     /// Why it got none. Then nothing was sent for it.
-    pub async fn enter(
-        self: &Arc<Self>,
-        owner: Owner,
-        cost: u32,
-        deadline: Instant,
-    ) -> Result<Permit, Denial> {
+    pub async fn enter(self: &Arc<Self>, call: Call) -> Result<Permit, Denial> {
         let (turn, receiver) = oneshot::channel();
         let now = self.clock.now();
-        let call = Call {
-            owner,
-            cost,
-            deadline,
-        };
+        let (cost, deadline) = (call.cost, call.deadline);
         let mut seat = {
             let mut inner = self.inner.lock();
             let ticket = inner.gate.offer(now, call).map_err(Denial::Refused)?;
--- a/crates/agent/src/model.rs
+++ b/crates/agent/src/model.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use domain::call::{Outcome, Problem, Step, Target};
 use http::{HeaderValue, Response, StatusCode};
-use policy::gate::End;
+use policy::gate::{self, End};
 use serde_json::{Map, Value, json};
 use slog::{debug, warn};
 use tokio::{sync::mpsc, time};
@@ -104,8 +104,13 @@
         let cost = cost.unwrap_or(DEFAULT_TOKENS).max(1);
         let customer = request.customer.as_str().to_owned();
         let asked_at = site.clock.now();
-        let owner = site.owner(request.customer);
-        let entered = site.gate.enter(owner, cost, request.deadline).await;
+        let asked = gate::Call {
+            owner: site.owner(request.customer),
+            cost,
+            bytes: u32::try_from(request.body.len()).unwrap_or(u32::MAX),
+            deadline: request.deadline,
+        };
+        let entered = site.gate.enter(asked).await;
         let mut permit = entered.map_err(|denial| Box::new(site.problems.denied(denial)))?;
         site.metrics
             .queued(&customer, site.clock.now().since(asked_at));
--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -7,7 +7,7 @@
     name,
 };
 use http::{HeaderValue, Response, StatusCode};
-use policy::gate::End;
+use policy::gate::{self, End};
 use tokio::time;
 use upstream::service::{Answer, Call, Service as Client};
 
@@ -77,8 +77,13 @@
     };
     check()?;
     let asked_at = site.clock.now();
-    let owner = site.owner(request.customer.clone());
-    let entered = site.gate.enter(owner, COST, request.deadline).await;
+    let asked = gate::Call {
+        owner: site.owner(request.customer.clone()),
+        cost: COST,
+        bytes: u32::try_from(request.body.len()).unwrap_or(u32::MAX),
+        deadline: request.deadline,
+    };
+    let entered = site.gate.enter(asked).await;
     let permit = entered.map_err(|denial| Box::new(site.problems.denied(denial)))?;
     let waited = site.clock.now().since(asked_at);
     site.metrics.queued(request.customer.as_str(), waited);
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -40,6 +40,8 @@
     pub owner: Owner,
     /// What it is expected to cost, in any unit that is the same for all calls.
     pub cost: u32,
+    /// How long its request is, in bytes.
+    pub bytes: u32,
     /// When the caller gives up.
     pub deadline: Instant,
 }
@@ -112,12 +114,14 @@
 struct Waiting {
     owner: Owner,
     cost: u32,
+    bytes: u32,
 }
 
 #[derive(Debug)]
 struct Running {
     owner: Owner,
     cost: u32,
+    bytes: u32,
     since: Instant,
     is_confirmed: bool,
     was_busy: bool,
@@ -174,8 +178,12 @@
             Err(Full::Total) => return Err(refusal(Cause::Full, wait)),
         }
         self.last_ticket += 1;
-        let (owner, cost) = (call.owner, call.cost);
-        self.waiting.insert(ticket, Waiting { owner, cost });
+        let waiting = Waiting {
+            owner: call.owner,
+            cost: call.cost,
+            bytes: call.bytes,
+        };
+        self.waiting.insert(ticket, waiting);
         Ok(ticket)
     }
 
@@ -186,7 +194,7 @@
             return None;
         }
         let ticket = self.queue.pop()?;
-        let Waiting { owner, cost } = self.waiting.remove(&ticket)?;
+        let Waiting { owner, cost, bytes } = self.waiting.remove(&ticket)?;
         self.unconfirmed += 1;
         let was_busy = (running + 1) * 2 >= self.limit.current();
         self.running.insert(
@@ -194,6 +202,7 @@
             Running {
                 owner,
                 cost,
+                bytes,
                 since: now,
                 is_confirmed: false,
                 was_busy,
@@ -232,7 +241,7 @@
         running.is_confirmed = true;
         self.unconfirmed -= 1;
         let waited = now.since(running.since);
-        self.limit.on_first_token(now, waited)
+        self.limit.on_first_token(now, waited, running.bytes)
     }
 
     /// Takes in the end of a call that had its turn. `actual` is what it really cost.
--- a/crates/policy/src/warmth.rs
+++ b/crates/policy/src/warmth.rs
@@ -8,10 +8,14 @@
 use domain::clock::Instant;
 
 /// A first token this many times later than usual is a sign of a cold engine.
-const SLOW_FACTOR: u32 = 4;
+const SLOW_FACTOR: f64 = 3.0;
 /// Added to that bound, so that the scheduling of threads is no such sign.
-const SLOW_FLOOR: Duration = Duration::from_millis(20);
-/// How many first tokens it takes to know what is usual.
+const SLOW_FLOOR: Duration = Duration::from_millis(10);
+/// So many usual first tokens in a row after a late one show that it was a false alarm.
+const CLEARING_SAMPLES: u32 = 4;
+/// So many late first tokens in a row are the new usual.
+const RELEARNING_SAMPLES: u32 = 64;
+/// So many first tokens it takes to know what is usual.
 const MIN_SAMPLES: u32 = 8;
 /// The weight of a new sample in the usual time is 1 to this.
 const SMOOTHING: u32 = 8;
@@ -61,14 +65,46 @@
     config: Config,
     current: u32,
     credit: u32,
-    usual: Option<Duration>,
-    samples: u32,
+    usual: Usual,
+    alarm: Option<Alarm>,
     is_reported_cold: bool,
     reports_count_from: Instant,
     pause: Duration,
     paused_until: Instant,
 }
 
+/// How long first tokens usually take, and how long the requests usually are.
+#[derive(Clone, Copy, Debug, Default)]
+struct Usual {
+    waited: Duration,
+    bytes: f64,
+    samples: u32,
+}
+
+/// A late first token, until it is clear whether the engine is cold.
+#[derive(Clone, Copy, Debug)]
+struct Alarm {
+    limit_before: u32,
+    usual_in_row: u32,
+    late: u32,
+}
+
+impl Usual {
+    /// Whether a first token is much later than usual. A long prompt may take longer.
+    fn is_late(&self, waited: Duration, bytes: u32) -> bool {
+        let stretch = (f64::from(bytes) / self.bytes.max(1.0)).max(1.0);
+        let bound = self.waited.mul_f64(SLOW_FACTOR * stretch) + SLOW_FLOOR;
+        self.samples >= MIN_SAMPLES && waited > bound
+    }
+
+    fn learn(&mut self, waited: Duration, bytes: u32) {
+        let weight = SMOOTHING.min(self.samples + 1);
+        self.waited = (self.waited * (weight - 1) + waited) / weight;
+        self.bytes += (f64::from(bytes) - self.bytes) / f64::from(weight);
+        self.samples = self.samples.saturating_add(1);
+    }
+}
+
 impl Limit {
     /// The limit of an upstream that is taken to be cold.
     pub fn new(config: Config) -> Self {
@@ -76,8 +112,8 @@
             current: config.cold.min(config.warm),
             config,
             credit: 0,
-            usual: None,
-            samples: 0,
+            usual: Usual::default(),
+            alarm: None,
             is_reported_cold: false,
             reports_count_from: Instant::ZERO,
             pause: MIN_PAUSE,
@@ -107,29 +143,55 @@
         self.paused_until
     }
 
-    /// Takes in how long the first token of a call took. A jump makes the upstream cold.
-    pub fn on_first_token(&mut self, now: Instant, waited: Duration) -> Option<Sign> {
-        if self.samples >= MIN_SAMPLES
-            && self
-                .usual
-                .is_some_and(|usual| waited > usual * SLOW_FACTOR + SLOW_FLOOR)
-        {
-            self.chill(now);
-            return Some(Sign::Slow);
+    /// Takes in how long the first token of a call took, whose request had so many bytes. A jump
+    /// makes the upstream cold at once; when the next first tokens come as usual, it was a false
+    /// alarm, and the limit is what it was before.
+    pub fn on_first_token(&mut self, now: Instant, waited: Duration, bytes: u32) -> Option<Sign> {
+        let is_late = self.usual.is_late(waited, bytes);
+        if !is_late {
+            self.usual.learn(waited, bytes);
+        }
+        match (&mut self.alarm, is_late) {
+            (None, false) => None,
+            (None, true) => {
+                let alarm = Alarm {
+                    limit_before: self.current,
+                    usual_in_row: 0,
+                    late: 1,
+                };
+                let usual = self.usual;
+                self.chill(now);
+                self.usual = usual;
+                self.alarm = Some(alarm);
+                Some(Sign::Slow)
+            }
+            (Some(alarm), true) => {
+                alarm.usual_in_row = 0;
+                alarm.late += 1;
+                if alarm.late >= RELEARNING_SAMPLES {
+                    self.alarm = None;
+                    self.usual = Usual::default();
+                }
+                None
+            }
+            (Some(alarm), false) => {
+                alarm.usual_in_row += 1;
+                if alarm.usual_in_row >= CLEARING_SAMPLES && !self.is_reported_cold {
+                    self.current = self.current.max(alarm.limit_before);
+                    self.alarm = None;
+                }
+                None
+            }
         }
-        self.samples = self.samples.saturating_add(1);
-        self.usual = Some(match self.usual {
-            Some(usual) => (usual * (SMOOTHING - 1) + waited) / SMOOTHING,
-            None => waited,
-        });
-        None
     }
 
     /// Takes in a good answer. `was_busy` says whether the call ran beside enough others to show
     /// that the upstream bears the limit.
     pub fn on_good(&mut self, now: Instant, was_busy: bool) {
         self.pause = MIN_PAUSE;
-        if !was_busy || self.is_warm() || self.is_reported_cold || now < self.reports_count_from {
+        let is_held_back =
+            self.is_reported_cold || self.alarm.is_some() || now < self.reports_count_from;
+        if !was_busy || self.is_warm() || is_held_back {
             return;
         }
         self.credit += 1;
@@ -164,8 +226,8 @@
     pub fn chill(&mut self, now: Instant) {
         self.current = self.config.cold.min(self.config.warm);
         self.credit = 0;
-        self.usual = None;
-        self.samples = 0;
+        self.usual = Usual::default();
+        self.alarm = None;
         self.reports_count_from = now + REPORT_LAG;
     }
 }
--- /dev/null
+++ b/crates/policy/tests/lifecycle.rs
@@ -0,0 +1,74 @@
+//! The lifecycle of an upstream, each event in each state.
+
+use domain::vm::Lifecycle::{self, Announced, Cold, Draining, Gone, Loading, Warm};
+use policy::lifecycle::{
+    Event::{self, Chilled, Drain, Drained, LoadOrdered, Lost, Serving, Unserved, Warmed},
+    Tracker,
+};
+
+/// A tracker in a given state.
+fn tracker(state: Lifecycle) -> Tracker {
+    let way: &[Event] = match state {
+        Announced => &[],
+        Loading => &[LoadOrdered],
+        Cold => &[Serving],
+        Warm => &[Serving, Warmed],
+        Draining => &[Drain],
+        Gone => &[Drain, Drained],
+    };
+    let mut tracker = Tracker::new();
+    for event in way {
+        tracker.handle(*event);
+    }
+    assert_eq!(tracker.state(), state);
+    tracker
+}
+
+#[test]
+fn each_event_in_each_state() {
+    // The states after the events in this order, from the state in front.
+    let events = [
+        LoadOrdered,
+        Serving,
+        Unserved,
+        Warmed,
+        Chilled,
+        Lost,
+        Drain,
+        Drained,
+    ];
+    let table = [
+        (
+            Announced,
+            [
+                Loading, Cold, Announced, Announced, Announced, Announced, Draining, Announced,
+            ],
+        ),
+        (
+            Loading,
+            [
+                Loading, Cold, Loading, Loading, Loading, Announced, Draining, Loading,
+            ],
+        ),
+        (
+            Cold,
+            [Cold, Cold, Announced, Warm, Cold, Announced, Draining, Cold],
+        ),
+        (
+            Warm,
+            [Warm, Warm, Announced, Warm, Cold, Announced, Draining, Warm],
+        ),
+        (
+            Draining,
+            [
+                Draining, Draining, Draining, Draining, Draining, Draining, Draining, Gone,
+            ],
+        ),
+        (Gone, [Gone; 8]),
+    ];
+    for (state, expected) in table {
+        for (event, next) in events.into_iter().zip(expected) {
+            assert_eq!(tracker(state).handle(event), next, "{event:?} in {state}");
+        }
+    }
+}
