--- a/crates/upstream/tests/service.rs
+++ b/crates/upstream/tests/service.rs
@@ -136,7 +136,8 @@
 
 #[tokio::test]
 async fn bodies_are_whole_only_with_their_end_marker() {
-    let cases: &[(&str, &'static [u8], Option<&'static [u8]>)] = &[
+    type Row = (&'static str, &'static [u8], Option<&'static [u8]>);
+    let cases: &[Row] = &[
         (
             "length",
             b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc",
