--- a/crates/bench/src/feed/meter.rs
+++ b/crates/bench/src/feed/meter.rs
@@ -2,14 +2,12 @@
 
 use std::{fs, path::Path, time::Duration};
 
-/// Ticks of the system's clock for processor times, per second.
-const TICKS_PER_S: u64 = 100;
 /// The name of the threads that follow the feed.
 const UPLINK: &str = "uplink";
 
-/// Processor time that a process has used.
+/// Processor time that the threads of a process have used.
 pub fn process_time(id: u32) -> Duration {
-    time_of(Path::new(&format!("/proc/{id}/stat")))
+    time_of_threads(&format!("/proc/{id}/task"), |_| true)
 }
 
 /// Resident memory of a process, in bytes.
@@ -22,28 +20,23 @@
 
 /// Processor time that this process's subscribers have used.
 pub fn uplink_time() -> Duration {
-    let Ok(tasks) = fs::read_dir("/proc/self/task") else {
-        return Duration::ZERO;
-    };
-    tasks
-        .filter_map(Result::ok)
-        .filter(|task| {
-            let name = fs::read_to_string(task.path().join("comm")).unwrap_or_default();
-            name.trim_end() == UPLINK
-        })
-        .map(|task| time_of(&task.path().join("stat")))
-        .sum()
+    time_of_threads("/proc/self/task", |task| {
+        let name = fs::read_to_string(task.join("comm")).unwrap_or_default();
+        name.trim_end() == UPLINK
+    })
 }
 
-/// User and system time: the 12th and 13th field after the name.
-fn time_of(stat: &Path) -> Duration {
-    let text = fs::read_to_string(stat).unwrap_or_default();
-    let fields = text.rsplit_once(')').map_or("", |(_, fields)| fields);
-    let ticks: u64 = fields
-        .split_whitespace()
-        .skip(11)
-        .take(2)
-        .filter_map(|field| field.parse::<u64>().ok())
-        .sum();
-    Duration::from_millis(ticks * 1_000 / TICKS_PER_S)
+/// The scheduler's count, which is exact to the nanosecond; the ticks of `stat` are too coarse for
+/// threads that mostly sleep.
+fn time_of_threads(folder: &str, is_counted: impl Fn(&Path) -> bool) -> Duration {
+    let tasks = fs::read_dir(folder).into_iter().flatten();
+    let paths = tasks.filter_map(Result::ok).map(|task| task.path());
+    paths
+        .filter(|path| is_counted(path))
+        .filter_map(|path| {
+            let text = fs::read_to_string(path.join("schedstat")).ok()?;
+            text.split_whitespace().next()?.parse().ok()
+        })
+        .map(Duration::from_nanos)
+        .sum()
 }
