Let an agent at rest rest

Cause: agents took 33 to 64 % of a core each in the demo. The reporter waits for changes of the lifecycle and sends it events; the watch was notified for each event, also when the state stayed the same, so it woke itself for ever. Ruled out: the watcher's polls (4 a second) and the reconciler (woken by them). Change: the watch is notified only when the state changes. Figures: tests/idle.rs failed before ("woken without a change"), passes after.

--- a/crates/agent/src/site.rs
+++ b/crates/agent/src/site.rs
@@ -124,11 +124,16 @@
     pub fn handle(&self, event: Event) {
         let mut tracker = self.lifecycle.lock();
         let state = tracker.handle(event);
-        let before = self.lifecycles.send_replace(state);
+        // Those who wait for a change must not wake up without one: some of them send events.
+        self.lifecycles.send_if_modified(|current| {
+            let is_new = *current != state;
+            if is_new {
+                info!(self.log, "upstream: now {state}, was {current}");
+                *current = state;
+            }
+            is_new
+        });
         drop(tracker);
-        if before != state {
-            info!(self.log, "upstream: now {state}, was {before}");
-        }
     }
 
     /// What stands in the way of sending a call. Ask right before sending: the clock is read here,
