Let the demo begin when every entry serves

Ruled out: a fault of the entries; a call refused before the feed has come is right.

Change: the demo sends one call of each customer to each entry until it is answered, at most 15 s, before it counts.

Conclusion: the demo counts only what the promises cover.

--- a/crates/bench/src/demo/mod.rs
+++ b/crates/bench/src/demo/mod.rs
@@ -23,6 +23,8 @@
 const MODEL_BYTES: u64 = 8_000_000;
 /// How long a rollout may take.
 const ROLLOUT_LIMIT: Duration = Duration::from_secs(90);
+/// How long an edit may take to be in force everywhere.
+const FEED_LIMIT: Duration = Duration::from_secs(15);
 /// After this time a zone that is out may get no new work.
 const ZONE_LIMIT: Duration = Duration::from_secs(5);
 
@@ -62,6 +64,7 @@
     say("lists applied; waiting for version 1");
     ctl.wait_for_ready(&format!("{MODEL}@1"), ROLLOUT_LIMIT)?;
 
+    traffic::wait_until_served(&fleet.caller_addrs(), MODEL, FEED_LIMIT)?;
     let traffic = Traffic::start(&fleet.caller_addrs(), MODEL)?;
     thread::sleep(config.pause);
 
--- a/crates/bench/src/demo/traffic.rs
+++ b/crates/bench/src/demo/traffic.rs
@@ -173,6 +173,33 @@
     counts
 }
 
+/// Waits until every entry serves the model to every customer.
+///
+/// A version that control shows as ready reaches an entry with its next batch of the feed.
+pub(super) fn wait_until_served(
+    entries: &[SocketAddr],
+    model: &str,
+    limit: Duration,
+) -> Result<(), Error> {
+    let runtime = Runtime::new().map_err(Error::step("start a runtime"))?;
+    let is_served = async {
+        for entry in entries {
+            for customer in CUSTOMERS {
+                let caller = Caller::new(*entry, customer);
+                let chat = Chat::new(model, "is anybody there", 1);
+                while !matches!(caller.chat(&chat).await, Answer::Whole(_)) {
+                    time::sleep(PACE).await;
+                }
+            }
+        }
+    };
+    runtime
+        .block_on(async { time::timeout(limit, is_served).await })
+        .map_err(|_| Error::Broken {
+            detail: format!("some entry does not serve {model} after {limit:?}"),
+        })
+}
+
 /// How often each key or attempt ran at an upstream.
 pub(super) fn runs(addr: SocketAddr, path: &str) -> Result<BTreeMap<String, u64>, Error> {
     serde_json::from_value(get(addr, path)?).map_err(Error::step("read an upstream's runs"))
