--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod feed;
 pub mod fleet;
 pub mod load;
+pub mod replicas;
