Let no jump of a clock make replicas forget, and tell entries limits by powers of two

Times in the state now never fall, and one command moves the time of forgetting by ten minutes at most.

An upstream's limit grows step by step while it warms up, and each step was a change for every entry. Entries learn it exactly from each answer's load header, so the feed tells powers of two only: at most five changes from 1 to 32 in place of 31.

The default size of the ledger falls from 1,000,000 to 100,000 calls.

--- a/crates/control/tests/shell/sessions.rs
+++ b/crates/control/tests/shell/sessions.rs
@@ -47,6 +47,13 @@
     }
 }
 
+fn limit(limit: u32) -> Status {
+    Status {
+        limit,
+        ..status(Lifecycle::Warm)
+    }
+}
+
 #[test]
 fn subscribers_hear_only_what_they_act_on() {
     let steps = [
@@ -66,6 +73,8 @@
         ("it serves", holding(Holding::Serving), (1, 0)),
         ("nothing changes", holding(Holding::Serving), (0, 0)),
         ("it turns warm", status(Lifecycle::Warm), (1, 0)),
+        ("it bears a little more", limit(5), (0, 0)),
+        ("it bears twice as much", limit(8), (1, 0)),
         ("it drains", status(Lifecycle::Draining), (1, 1)),
         ("it is gone", status(Lifecycle::Gone), (1, 1)),
     ];
--- a/crates/policy/src/changes.rs
+++ b/crates/policy/src/changes.rs
@@ -153,7 +153,9 @@
     }
 }
 
-/// A VM as entries need it: without the progress of what it does not serve yet.
+/// A VM as entries need it: without the progress of what it does not serve yet, and with its limit
+/// rounded down to a power of two. A limit grows step by step while an upstream warms up; entries
+/// learn it exactly from each answer, so the feed need not tell every step.
 #[must_use]
 pub fn for_entry(vm: &Vm) -> Vm {
     let serving = vm
@@ -168,7 +170,8 @@
                 .map(|(id, held)| (id.clone(), held.clone()))
                 .collect(),
             fence: Default::default(),
-            ..vm.status.clone()
+            limit: vm.status.limit.checked_ilog2().map_or(0, |log| 1 << log),
+            lifecycle: vm.status.lifecycle,
         },
     }
 }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -27,6 +27,9 @@
 
 use crate::ledger::Ledger;
 
+/// How far one command may move the time before which entries are forgotten, in milliseconds. A
+/// leader whose clock jumps ahead then forgets nothing early for hours, not everything at once.
+pub const MAX_EXPIRY_STEP_MS: u64 = 10 * 60 * 1_000;
 /// Lines of the history beyond this many are forgotten, the oldest first.
 pub const MAX_HISTORY: usize = 10_000;
 
@@ -60,6 +63,10 @@
     ledger: Ledger,
     answers: BTreeMap<Arc<str>, Answered>,
     history: VecDeque<Event>,
+    /// The latest time that any command named, in milliseconds since the Unix epoch.
+    clock_ms: u64,
+    /// Entries that ended before this time are forgotten.
+    horizon_ms: u64,
 }
 
 impl State {
@@ -136,23 +143,27 @@
                 pins,
                 objections,
                 at_ms,
-            } => self.edit(fence, &edit, &pins, objections, at_ms),
+            } => {
+                let at_ms = self.tell_time(at_ms);
+                self.edit(fence, &edit, &pins, objections, at_ms)
+            }
             Command::Ledger {
                 write,
                 max_entries,
                 at_ms,
-            } => Applied {
-                reply: Reply::Ledger(self.ledger.apply(write, max_entries, at_ms)),
-                deltas: Vec::new(),
-            },
+            } => {
+                let at_ms = self.tell_time(at_ms);
+                Applied {
+                    reply: Reply::Ledger(self.ledger.apply(write, max_entries, at_ms)),
+                    deltas: Vec::new(),
+                }
+            }
             Command::Advance { artifact, from, to } => Applied {
                 reply: Reply::Done,
                 deltas: self.advance(fence, &artifact, &from, to),
             },
             Command::Expire { before_ms } => {
-                self.ledger.expire(before_ms);
-                self.answers
-                    .retain(|_, answered| answered.at_ms >= before_ms);
+                self.expire(before_ms);
                 Applied {
                     reply: Reply::Done,
                     deltas: Vec::new(),
@@ -161,6 +172,25 @@
         }
     }
 
+    /// The time of a command. It never falls, so that what a replica with a slow clock writes is
+    /// not forgotten early.
+    fn tell_time(&mut self, at_ms: u64) -> u64 {
+        self.clock_ms = self.clock_ms.max(at_ms);
+        self.clock_ms
+    }
+
+    fn expire(&mut self, before_ms: u64) {
+        let furthest = match self.horizon_ms {
+            0 => before_ms,
+            horizon_ms => horizon_ms + MAX_EXPIRY_STEP_MS,
+        };
+        self.horizon_ms = before_ms.min(furthest).max(self.horizon_ms);
+        let horizon_ms = self.horizon_ms;
+        self.ledger.expire(horizon_ms);
+        self.answers
+            .retain(|_, answered| answered.at_ms >= horizon_ms);
+    }
+
     fn edit(
         &mut self,
         fence: Fence,
--- a/crates/policy/tests/state.rs
+++ b/crates/policy/tests/state.rs
@@ -192,6 +192,34 @@
     assert_eq!(state.lists(), &Lists::default());
 }
 
+#[test]
+fn a_clock_that_jumps_makes_no_replica_forget_early() {
+    const HOUR_MS: u64 = 3_600_000;
+    let at = |id: &str, at_ms| Command::Edit {
+        edit: edit(id, None, zone(false)),
+        pins: Pins::new(),
+        objections: Vec::new(),
+        at_ms,
+    };
+    let expire = |before_ms| Command::Expire { before_ms };
+    let mut state = State::new();
+    state.apply(1, 1, expire(100 * HOUR_MS));
+    assert_eq!(submit(&mut state, 2, at("a", 124 * HOUR_MS)), accepted(1));
+    // This replica's clock is two days behind.
+    assert_eq!(submit(&mut state, 3, at("b", 76 * HOUR_MS)), accepted(2));
+    // This leader's clock is two days ahead, for ten minutes.
+    for minute in 0..10 {
+        state.apply(1, 4 + minute, expire(148 * HOUR_MS));
+    }
+    assert_eq!(submit(&mut state, 20, at("a", 125 * HOUR_MS)), accepted(1));
+    assert_eq!(submit(&mut state, 21, at("b", 125 * HOUR_MS)), accepted(2));
+    for step in 0..200 {
+        state.apply(1, 22 + step, expire(148 * HOUR_MS));
+    }
+    let forgotten = submit(&mut state, 300, at("a", 149 * HOUR_MS));
+    assert_eq!(forgotten, accepted(3), "it is forgotten in the end");
+}
+
 #[test]
 fn an_edit_whose_manifest_is_not_read_is_refused() {
     let mut state = State::new();
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -100,5 +100,5 @@
 }
 
 fn ledger_entries() -> u64 {
-    1_000_000
+    100_000
 }
