Test the whole system as processes with faults under load

Cause: the promises hold only if they hold across processes: killed VMs, frozen agents, leaders and entries.

Ruled out: a simulator; these tests use the daemons and the stand-ins as they are.

Change: bench::load::{traffic, verdict} out of the demo, crates/bench/tests/whole.rs.

--- a/crates/bench/src/demo/mod.rs
+++ b/crates/bench/src/demo.rs
@@ -1,10 +1,6 @@
 //! The demo: a rollout under load, then a zone out and back, with every answer checked.
 
-mod table;
-mod traffic;
-
 use std::{
-    collections::BTreeMap,
     fs, thread,
     time::{Duration, Instant},
 };
@@ -12,9 +8,12 @@
 use domain::lists::Lists;
 
 use crate::{
-    demo::{table::Table, traffic::Traffic},
     error::Error,
     fleet::{Fleet, ctl::Ctl, layout::Layout, lists::Builder},
+    load::{
+        traffic::{self, Traffic},
+        verdict::{Verdict, runs_in_zone, service_runs},
+    },
 };
 
 /// The model of the demo.
@@ -86,9 +85,10 @@
     thread::sleep(config.pause);
 
     let counts = traffic.stop()?;
-    let table = Table::new(counts, &service_runs(&fleet)?, after.saturating_sub(before));
-    println!("{table}");
-    table.check()
+    let verdict = Verdict::new(counts, &service_runs(&fleet)?)
+        .with_calls_in_closed_zones(after.saturating_sub(before));
+    println!("{verdict}");
+    verdict.check()
 }
 
 fn say(text: &str) {
@@ -147,41 +147,3 @@
         detail: format!("{id} is not ready after {ROLLOUT_LIMIT:?}: {last}"),
     })
 }
-
-/// How many calls the engines and services of a zone have run.
-fn runs_in_zone(fleet: &Fleet, zone: &str) -> Result<u64, Error> {
-    let members = fleet
-        .plan()
-        .upstreams
-        .iter()
-        .filter(|member| member.zone == zone);
-    members
-        .map(|member| {
-            let path = if member.is_service() {
-                "/attempts"
-            } else {
-                "/runs"
-            };
-            Ok(traffic::runs(member.addr, path)?.values().sum::<u64>())
-        })
-        .sum()
-}
-
-/// How often each key of calls that may not be repeated has run, over all services.
-fn service_runs(fleet: &Fleet) -> Result<BTreeMap<String, u64>, Error> {
-    let mut runs = BTreeMap::new();
-    let services = fleet
-        .plan()
-        .upstreams
-        .iter()
-        .filter(|member| member.is_service());
-    for member in services {
-        for (key, count) in traffic::runs(member.addr, "/runs")? {
-            // Look-ups have no key.
-            if key != fakes::service::NO_KEY {
-                *runs.entry(key).or_default() += count;
-            }
-        }
-    }
-    Ok(runs)
-}
--- a/crates/bench/src/load/mod.rs
+++ b/crates/bench/src/load/mod.rs
@@ -2,3 +2,5 @@
 
 pub mod client;
 pub mod tally;
+pub mod traffic;
+pub mod verdict;
--- a/crates/bench/src/demo/traffic.rs
+++ b/crates/bench/src/load/traffic.rs
@@ -1,4 +1,4 @@
-//! The demo's callers, on threads of their own.
+//! Callers on threads of their own, with every answer checked.
 
 use std::{
     collections::BTreeMap,
@@ -40,18 +40,18 @@
 
 /// What the callers counted.
 #[derive(Default)]
-pub(super) struct Counts {
+pub struct Counts {
     chats: Tally,
     streams: Tally,
     lookups: Tally,
     holds: Tally,
     /// Keys of calls that were refused as not run and never sent again.
-    pub(super) not_run_keys: Vec<String>,
+    pub not_run_keys: Vec<String>,
 }
 
 impl Counts {
     /// The tallies by name.
-    pub(super) fn rows(&self) -> [(&'static str, &Tally); 4] {
+    pub fn rows(&self) -> [(&'static str, &Tally); 4] {
         [
             ("chats", &self.chats),
             ("streams", &self.streams),
@@ -61,7 +61,7 @@
     }
 
     /// All tallies together.
-    pub(super) fn total(&self) -> Tally {
+    pub fn total(&self) -> Tally {
         let mut total = Tally::default();
         self.rows()
             .into_iter()
@@ -79,7 +79,7 @@
 }
 
 /// Running callers.
-pub(super) struct Traffic {
+pub struct Traffic {
     runtime: Runtime,
     is_stopped: Arc<AtomicBool>,
     callers: Vec<JoinHandle<Counts>>,
@@ -87,7 +87,7 @@
 
 impl Traffic {
     /// Starts callers at every entry.
-    pub(super) fn start(entries: &[SocketAddr], model: &str) -> Result<Self, Error> {
+    pub fn start(entries: &[SocketAddr], model: &str) -> Result<Self, Error> {
         let runtime = Runtime::new().map_err(Error::step("start a runtime"))?;
         let is_stopped = Arc::new(AtomicBool::new(false));
         let mut callers = Vec::new();
@@ -109,7 +109,7 @@
     }
 
     /// Lets the running calls end and returns the counts.
-    pub(super) fn stop(self) -> Result<Counts, Error> {
+    pub fn stop(self) -> Result<Counts, Error> {
         self.is_stopped.store(true, Ordering::Relaxed);
         let mut counts = Counts::default();
         for caller in self.callers {
@@ -176,7 +176,7 @@
 /// Waits until every entry serves the model to every customer.
 ///
 /// A version that control shows as ready reaches an entry with its next batch of the feed.
-pub(super) fn wait_until_served(
+pub fn wait_until_served(
     entries: &[SocketAddr],
     model: &str,
     limit: Duration,
@@ -201,7 +201,7 @@
 }
 
 /// How often each key or attempt ran at an upstream.
-pub(super) fn runs(addr: SocketAddr, path: &str) -> Result<BTreeMap<String, u64>, Error> {
+pub fn runs(addr: SocketAddr, path: &str) -> Result<BTreeMap<String, u64>, Error> {
     serde_json::from_value(get(addr, path)?).map_err(Error::step("read an upstream's runs"))
 }
 
