Entry: the state at the moment of sending, and refusals in spite of room

A draining agent refuses at its queue with little running, which read as want of room: the router then found it the least loaded and chose it for every call until the feed said so. Such a refusal now pauses the upstream; one for want of room does not, because its load report already steers.

Tests also change the state between choice and sending: zone out, drained, feed too old, plan edited. Each is caught at the last check.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -9,7 +9,8 @@
     header, name,
 };
 use http::{
-    HeaderMap, HeaderValue, Method, Request, Response, Uri, header::AUTHORIZATION, response,
+    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header::AUTHORIZATION,
+    response,
 };
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -166,7 +167,7 @@
     if !is_permitted {
         let detail = format!("the plan may no longer use {}", call.wanted());
         let mut failure = Failure::unsent(Step::Resolve, Peer::Entry, detail).into_final();
-        failure.problem.status = http::StatusCode::FORBIDDEN.as_u16();
+        failure.problem.status = StatusCode::FORBIDDEN.as_u16();
         return Err(failure);
     }
     let name = placement.name();
@@ -234,7 +235,8 @@
             detail,
         ));
     }
-    if let Some(report) = text(header::LOAD).and_then(Report::parse) {
+    let report = text(header::LOAD).and_then(Report::parse);
+    if let Some(report) = report {
         placement.report(report);
     }
     match text(header::OUTCOME).map(str::to_owned) {
@@ -246,15 +248,20 @@
         }),
         Some(outcome) => {
             let problem = read_problem(shared, &head, body, &placement, &outcome).await;
-            Err(blame(&placement, problem))
+            Err(blame(&placement, problem, report))
         }
     }
 }
 
-fn blame(placement: &Placement, problem: Problem) -> Failure {
+/// Holds a failure against the upstream as far as it says something about it. Want of room shows
+/// in the reported load; a refusal in spite of room means that the upstream takes nothing now.
+fn blame(placement: &Placement, problem: Problem, report: Option<Report>) -> Failure {
     let failure = Failure::stated(problem);
+    let is_full = report.is_some_and(|report| report.is_full());
     match &failure {
-        failure if !failure.is_local || failure.is_load() => {}
+        failure if !failure.is_local => {}
+        failure if failure.is_load() && is_full => {}
+        failure if failure.problem.status == StatusCode::TOO_MANY_REQUESTS.as_u16() => {}
         failure if failure.is_not_run() => placement.refuse(),
         _ => placement.fail(),
     }
--- a/crates/entry/tests/common/control.rs
+++ b/crates/entry/tests/common/control.rs
@@ -37,6 +37,13 @@
     age: Mutex<Option<Duration>>,
     is_ledger_up: AtomicBool,
     ledger: Mutex<HashMap<Key, Call>>,
+    change: Mutex<Option<Change>>,
+}
+
+/// Something that happens between two reads of the feed.
+struct Change {
+    reads_left: usize,
+    apply: Box<dyn FnOnce(&Fake) + Send>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -56,6 +63,7 @@
             age: Mutex::new(Some(Duration::ZERO)),
             is_ledger_up: AtomicBool::new(true),
             ledger: Mutex::default(),
+            change: Mutex::new(None),
         });
         fake.set(Record::Customer(lists::Customer {
             name: name::Customer::new("vaalkop"),
@@ -162,6 +170,10 @@
         self.set(Record::ZoneOut(name::AvailabilityZone::new(zone)));
     }
 
+    pub fn drain(&self, vm: &str) {
+        self.set(Record::Drain(name::Vm::new(vm)));
+    }
+
     pub fn zone_in(&self, zone: &str) {
         let zone = name::AvailabilityZone::new(zone);
         self.apply(Delta::Remove(domain::record::Key::ZoneOut(zone)));
@@ -171,6 +183,30 @@
         *self.age.lock() = age;
     }
 
+    /// Applies a change after so many further reads of the feed: at exactly that step of a call.
+    pub fn after_reads(&self, reads: usize, apply: impl FnOnce(&Self) + Send + 'static) {
+        *self.change.lock() = Some(Change {
+            reads_left: reads,
+            apply: Box::new(apply),
+        });
+    }
+
+    fn count_read(&self) {
+        let due = {
+            let mut slot = self.change.lock();
+            match slot.as_mut() {
+                Some(change) if change.reads_left > 0 => {
+                    change.reads_left -= 1;
+                    None
+                }
+                _ => slot.take(),
+            }
+        };
+        if let Some(change) = due {
+            (change.apply)(self);
+        }
+    }
+
     pub fn set_ledger_up(&self, is_up: bool) {
         self.is_ledger_up.store(is_up, Ordering::SeqCst);
     }
@@ -225,6 +261,7 @@
 
 impl Control for Fake {
     fn feed(&self) -> Arc<Feed> {
+        self.count_read();
         let now = Boot.now();
         let bound = match *self.age.lock() {
             Some(age) => Bound::new(now, age),
--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -212,6 +212,53 @@
     assert_eq!(stage.second.runs().len(), 1);
 }
 
+/// The state changes after the upstream was chosen and before the call is sent to it, as it may
+/// while the connection opens or the process is frozen.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_state_at_the_moment_of_sending_decides() {
+    type Change = fn(&Fake);
+    let cases: [(&str, Change, bool); 4] = [
+        ("zone out", |control| control.zone_out("saldanha"), true),
+        ("drained", |control| control.drain("first"), true),
+        (
+            "feed too old",
+            |control| control.set_age(Some(Duration::from_secs(6))),
+            false,
+        ),
+        (
+            "plan without it",
+            |control| control.set_versions(&["1"]),
+            false,
+        ),
+    ];
+    for (name, change, goes_elsewhere) in cases {
+        let stage = Stage::new(Kind::Chat).await;
+        stage.add(Kind::Chat, "second", "durban", &stage.second);
+        // The reads are: on arrival, on choosing, on sending.
+        stage.control.after_reads(2, change);
+        let got = stage.call(Kind::Chat).await;
+        assert_eq!(stage.first.calls(), 0, "{name}: {got:?}");
+        assert_eq!(got.status.is_success(), goes_elsewhere, "{name}: {got:?}");
+        if !goes_elsewhere {
+            assert_eq!(got.outcome(), Outcome::NotRun, "{name}");
+            assert_eq!(stage.second.calls(), 0, "{name}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_that_refuses_in_spite_of_room_is_left_alone_for_a_while() {
+    let stage = Stage::new(Kind::Chat).await;
+    stage.add(Kind::Chat, "second", "durban", &stage.second);
+    // A draining gate refuses at its queue, and reports that little runs.
+    stage.first.always(Act::Full);
+    const CALLS: usize = 40;
+    for _ in 0..CALLS {
+        assert!(stage.call(Kind::Chat).await.status.is_success());
+    }
+    assert!(stage.first.calls() < CALLS / 2, "{}", stage.first.calls());
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_feed_too_old_refuses_as_not_run() {
     for age in [None, Some(Duration::from_millis(5_100))] {
--- a/crates/policy/src/router/load.rs
+++ b/crates/policy/src/router/load.rs
@@ -12,6 +12,11 @@
 }
 
 impl Report {
+    /// Whether as many calls run and wait as it bears at once.
+    pub fn is_full(&self) -> bool {
+        self.running.saturating_add(self.queued) >= self.limit
+    }
+
     /// Reads the `running/queued/limit` form, or nothing when the text has another shape.
     pub fn parse(text: &str) -> Option<Self> {
         let mut parts = text.split('/').map(|part| part.parse().ok());
