--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -221,7 +221,9 @@
 
     /// The agent reported its load.
     pub fn report(&self, report: Report) {
-        self.shared.tables.lock().router.report(self.name(), report);
+        let now = self.shared.clock.now();
+        let mut tables = self.shared.tables.lock();
+        tables.router.report(self.name(), report, now);
     }
 
     /// The upstream gave a whole answer.
--- a/crates/entry/tests/common/agent.rs
+++ b/crates/entry/tests/common/agent.rs
@@ -51,6 +51,8 @@
     Refuse,
     /// A refusal for want of room, with a load report to match.
     Full,
+    /// A refusal since the customer is over its share here.
+    OverShare,
     /// The connection is cut before the call ran.
     CutBeforeRun,
     /// The connection is cut after the call ran, before the head.
@@ -262,6 +264,7 @@
     match act {
         Act::Refuse => return refuse(&call, Step::Choose, StatusCode::SERVICE_UNAVAILABLE),
         Act::Full => return refuse(&call, Step::Queue, StatusCode::SERVICE_UNAVAILABLE),
+        Act::OverShare => return refuse(&call, Step::Queue, StatusCode::TOO_MANY_REQUESTS),
         Act::CutBeforeRun => {
             cut.notify_one();
             future::pending::<()>().await;
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -24,6 +24,9 @@
 const SPILL_LOAD: f64 = 0.9;
 /// How far above the mean load the owner of a prompt prefix may lie and still be chosen.
 const AFFINITY_SLACK: f64 = 1.25;
+/// The least time between two walks through the whole fleet. Changes in between are seen at each
+/// choice for the members of the subset, so only newcomers wait for it.
+const SUBSET_PERIOD: Duration = Duration::from_millis(200);
 /// When another try makes sense if no upstream serves what is wanted.
 const NO_MEMBER_RETRY: Duration = Duration::from_secs(1);
 
@@ -73,6 +76,7 @@
 pub struct Router {
     config: Config,
     view: Arc<View>,
+    followed_at: Instant,
     subsets: HashMap<Need, Arc<Subset>>,
     loads: HashMap<name::Vm, Load>,
     suspicion: suspicion::Table,
@@ -84,6 +88,7 @@
         Self {
             config,
             view: Arc::default(),
+            followed_at: Instant::ZERO,
             subsets: HashMap::new(),
             loads: HashMap::new(),
             suspicion: suspicion::Table::new(),
@@ -102,23 +107,31 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Result<Arc<Vm>, Unavailable> {
-        self.follow(view);
-        let subset = self.subset(request.need);
-        let chosen = self.pick(&subset, request, now, rng);
+        if now.since(self.followed_at) >= SUBSET_PERIOD {
+            self.follow(view, now);
+        }
+        let seen = Seen { view, request, now };
+        let mut subset = self.subset(request.need);
+        let mut chosen = self.pick(&subset, &seen, rng);
+        if chosen.is_none() && !Arc::ptr_eq(&self.view, view) {
+            self.follow(view, now);
+            subset = self.subset(request.need);
+            chosen = self.pick(&subset, &seen, rng);
+        }
         let chosen = chosen.ok_or_else(|| self.unavailable(&subset, now))?;
-        let vm = chosen.vm.clone();
-        let name = &vm.announcement.vm;
+        let name = &chosen.vm.announcement.vm;
+        let vm = view.vms.get(name).unwrap_or(&chosen.vm).clone();
         self.load(&vm).begin();
-        self.suspicion.begin(name, now);
+        self.suspicion.begin(&vm.announcement.vm, now);
         Ok(vm)
     }
 
     /// Whether some upstream that was not tried has room by what is known of its load.
     pub fn has_room(&mut self, view: &Arc<View>, request: &Request<'_>, now: Instant) -> bool {
-        self.follow(view);
         let subset = self.subset(request.need);
-        let mut open = subset.members().filter(|m| self.is_open(m, request, now));
-        open.any(|member| self.ratio(member) < 1.0)
+        let seen = Seen { view, request, now };
+        let mut open = subset.members().filter(|m| self.is_open(m, &seen));
+        open.any(|member| self.ratio(member, now) < 1.0)
     }
 
     /// A call on the upstream has ended, however it ended.
@@ -130,9 +143,9 @@
     }
 
     /// The upstream's agent reported its load with an answer.
-    pub fn report(&mut self, vm: &name::Vm, report: Report) {
+    pub fn report(&mut self, vm: &name::Vm, report: Report, now: Instant) {
         if let Some(load) = self.loads.get_mut(vm) {
-            load.report(report);
+            load.report(report, now);
         }
     }
 
@@ -151,7 +164,8 @@
         self.suspicion.fail(vm, now);
     }
 
-    fn follow(&mut self, view: &Arc<View>) {
+    fn follow(&mut self, view: &Arc<View>, now: Instant) {
+        self.followed_at = now;
         if Arc::ptr_eq(&self.view, view) {
             return;
         }
@@ -175,70 +189,47 @@
     fn pick<'a>(
         &self,
         subset: &'a Subset,
-        request: &Request<'_>,
-        now: Instant,
+        seen: &Seen<'_>,
         rng: &mut impl Rng,
     ) -> Option<&'a Member> {
-        let mut open: Vec<&Member> = Vec::new();
+        let mut open: Vec<Candidate<'_>> = Vec::new();
         for tier in subset.tiers() {
-            open.extend(tier.iter().filter(|m| self.is_open(m, request, now)));
-            let best = open.iter().map(|m| self.ratio(m)).fold(f64::MAX, f64::min);
+            let members = tier.iter().filter(|m| self.is_open(m, seen));
+            open.extend(members.map(|member| Candidate {
+                member,
+                ratio: self.ratio(member, seen.now),
+                is_idle: self.is_idle(member),
+            }));
+            let best = open.iter().map(|c| c.ratio).fold(f64::MAX, f64::min);
             if best < SPILL_LOAD {
                 break;
             }
         }
-        let owner = request.prefix.and_then(|prefix| self.owner(&open, prefix));
-        owner.or_else(|| self.lighter_of_two(&open, rng))
+        let owner = seen.request.prefix.and_then(|prefix| owner(&open, prefix));
+        let chosen = owner.or_else(|| lighter_of_two(&open, rng))?;
+        Some(chosen.member)
     }
 
-    fn is_open(&self, member: &Member, request: &Request<'_>, now: Instant) -> bool {
+    fn is_open(&self, member: &Member, seen: &Seen<'_>) -> bool {
+        let Seen { view, request, now } = seen;
         let name = &member.vm.announcement.vm;
-        let is_trusted = match self.suspicion.standing(name, now) {
+        let is_trusted = match self.suspicion.standing(name, *now) {
             Standing::Trusted | Standing::HalfOpen => true,
             Standing::Suspected(_) => false,
         };
-        is_trusted && !request.tried.contains(name)
-    }
-
-    /// The member to which the prefix belongs, passing over those that bear more than the others.
-    fn owner<'a>(&self, open: &[&'a Member], prefix: Point) -> Option<&'a Member> {
-        let sum: f64 = open.iter().map(|member| self.ratio(member)).sum();
-        let count = u32::try_from(open.len()).ok().filter(|n| *n > 0)?;
-        let bound = (sum / f64::from(count) * AFFINITY_SLACK).min(SPILL_LOAD);
-        let fits = |member: &&&Member| {
-            let ratio = self.ratio(member);
-            ratio <= bound || self.running(member) == 0
-        };
-        let fitting = open.iter().filter(fits);
-        fitting.max_by_key(|m| prefix.weight(m.point)).copied()
-    }
-
-    /// Power of two choices: the less loaded of two members drawn at random.
-    fn lighter_of_two<'a>(&self, open: &[&'a Member], rng: &mut impl Rng) -> Option<&'a Member> {
-        let first = match open {
-            [] => return None,
-            [only] => return Some(only),
-            many => rng.random_range(0..many.len()),
-        };
-        let second = (first + rng.random_range(1..open.len())) % open.len();
-        let (first, second) = (open[first], open[second]);
-        match self.ratio(second) < self.ratio(first) {
-            true => Some(second),
-            false => Some(first),
-        }
+        is_trusted && !request.tried.contains(name) && is_eligible(view, name, request.need)
     }
 
-    fn ratio(&self, member: &Member) -> f64 {
+    fn ratio(&self, member: &Member, now: Instant) -> f64 {
         let limit = member.vm.status.limit;
         self.loads
             .get(&member.vm.announcement.vm)
-            .map_or(0.0, |load| load.ratio(limit))
+            .map_or(0.0, |load| load.ratio(limit, now))
     }
 
-    fn running(&self, member: &Member) -> u32 {
-        self.loads
-            .get(&member.vm.announcement.vm)
-            .map_or(0, Load::running)
+    fn is_idle(&self, member: &Member) -> bool {
+        let load = self.loads.get(&member.vm.announcement.vm);
+        !load.is_some_and(Load::is_running)
     }
 
     fn load(&mut self, vm: &Vm) -> &mut Load {
@@ -260,6 +251,47 @@
     }
 }
 
+/// What a choice is made from.
+struct Seen<'a> {
+    view: &'a View,
+    request: &'a Request<'a>,
+    now: Instant,
+}
+
+/// A member that may take the call.
+#[derive(Clone, Copy)]
+struct Candidate<'a> {
+    member: &'a Member,
+    ratio: f64,
+    is_idle: bool,
+}
+
+/// The member to which the prefix belongs, passing over those that bear more than the others.
+fn owner<'a>(open: &[Candidate<'a>], prefix: Point) -> Option<Candidate<'a>> {
+    let sum: f64 = open.iter().map(|candidate| candidate.ratio).sum();
+    let count = u32::try_from(open.len()).ok().filter(|n| *n > 0)?;
+    let bound = (sum / f64::from(count) * AFFINITY_SLACK).min(SPILL_LOAD);
+    let fitting = open.iter().filter(|c| c.ratio <= bound || c.is_idle);
+    fitting
+        .max_by_key(|candidate| prefix.weight(candidate.member.point))
+        .copied()
+}
+
+/// Power of two choices: the less loaded of two members drawn at random.
+fn lighter_of_two<'a>(open: &[Candidate<'a>], rng: &mut impl Rng) -> Option<Candidate<'a>> {
+    let first = match open {
+        [] => return None,
+        [only] => return Some(*only),
+        many => rng.random_range(0..many.len()),
+    };
+    let second = (first + rng.random_range(1..open.len())) % open.len();
+    let (first, second) = (open[first], open[second]);
+    match second.ratio < first.ratio {
+        true => Some(second),
+        false => Some(first),
+    }
+}
+
 /// Whether an upstream may take a call now: its zone is in service, it is not drained, and it
 /// serves what is needed. Entries ask this again at the moment of sending.
 pub fn is_eligible(view: &View, vm: &name::Vm, need: &Need) -> bool {
--- a/crates/policy/src/router/load.rs
+++ b/crates/policy/src/router/load.rs
@@ -1,5 +1,12 @@
 //! An upstream's load as one entry estimates it.
 
+use std::time::Duration;
+
+use domain::clock::Instant;
+
+/// A report older than this says nothing any more; the upstream may have restarted since.
+const REPORT_LIFE: Duration = Duration::from_secs(2);
+
 /// What an agent says of its load with each answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Report {
@@ -32,7 +39,7 @@
 /// The last report, and the entry's own calls then and now.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Load {
-    report: Option<Report>,
+    report: Option<(Report, Instant)>,
     running_then: u32,
     running: u32,
 }
@@ -49,8 +56,8 @@
     }
 
     /// Takes a report, which still counts the call that it came with.
-    pub fn report(&mut self, report: Report) {
-        self.report = Some(report);
+    pub fn report(&mut self, report: Report, now: Instant) {
+        self.report = Some((report, now));
         self.running_then = self.running;
     }
 
@@ -59,17 +66,13 @@
         self.running > 0
     }
 
-    /// How many calls of this entry run.
-    pub fn running(&self) -> u32 {
-        self.running
-    }
-
     /// Calls that run or wait as a part of what the upstream bears. `limit` stands in for a
-    /// report.
-    pub fn ratio(&self, limit: u32) -> f64 {
-        let (others, limit) = match self.report {
+    /// report that is missing or old.
+    pub fn ratio(&self, limit: u32, now: Instant) -> f64 {
+        let report = self.report.filter(|(_, at)| now.since(*at) < REPORT_LIFE);
+        let (others, limit) = match report {
             None => (0, limit),
-            Some(report) => {
+            Some((report, _)) => {
                 let all = report.running.saturating_add(report.queued);
                 (all.saturating_sub(self.running_then), report.limit)
             }
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -277,11 +277,49 @@
     let mut bench = Bench::new(32, fleet(2, 1));
     let busy = name::Vm::new("vm-0");
     while bench.name() != "vm-0" {}
-    bench.router.report(&busy, Report::parse("7/0/10").unwrap());
+    bench.router.report(&busy, Report::parse("7/0/10").unwrap(), NOW);
     let names: Vec<_> = (0..4).map(|_| bench.name()).collect();
     assert!(names.iter().all(|name| name == "vm-1"), "{names:?}");
 }
 
+#[test]
+fn an_old_report_gives_way_to_what_the_feed_says() {
+    // The upstream restarted cold while nothing was sent to it.
+    let mut bench = Bench::new(32, fleet(2, 1));
+    while bench.name() != "vm-0" {}
+    let restarted = name::Vm::new("vm-0");
+    bench.router.report(&restarted, Report::parse("0/0/100").unwrap(), NOW);
+    for _ in 0..12 {
+        bench.choose(None, &[]);
+    }
+    (0..12).for_each(|_| bench.router.end(&restarted));
+    let mut cold = vm(0, 0);
+    cold.status.limit = 1;
+    let view = apply(&bench.view, vec![set(Box::new(cold))]);
+    let need = need();
+    let request = Request {
+        need: &need,
+        prefix: None,
+        tried: &[],
+    };
+    let later = NOW + Duration::from_secs(3);
+    let names = (0..4).map(|_| {
+        let chosen = bench.router.choose(&view, &request, later, &mut bench.rng);
+        chosen.unwrap().announcement.vm.to_string()
+    });
+    let cold_calls = names.filter(|name| name == "vm-0").count();
+    assert!(cold_calls <= 1, "{cold_calls}");
+}
+
+#[test]
+fn a_change_of_the_view_is_seen_at_once_by_every_choice() {
+    let mut bench = Bench::new(8, fleet(60, 6));
+    let first = bench.name();
+    let out = Record::Drain(name::Vm::new(first.as_str()));
+    bench.view = apply(&bench.view, vec![set(out)]);
+    assert!((0..40).all(|_| bench.name() != first));
+}
+
 #[test]
 fn a_prompt_prefix_stays_on_one_upstream_while_that_bears_it() {
     let mut bench = Bench::new(32, fleet(8, 1));
