--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,8 +7,12 @@
 pub mod affinity;
 pub mod age;
 pub mod changes;
+pub mod fair;
+pub mod gate;
 pub mod ledger;
+pub mod lifecycle;
 pub mod membership;
+pub mod orders;
 pub mod owner;
 pub mod pacer;
 pub mod replica;
@@ -22,3 +26,4 @@
 pub mod suspicion;
 pub mod swarm;
 pub mod view;
+pub mod warmth;
