--- a/crates/bench/src/load/mod.rs
+++ b/crates/bench/src/load/mod.rs
@@ -1,6 +1,8 @@
 //! Callers of the bench: they send calls and check every answer.
 
 pub mod client;
+pub mod open;
+pub mod stage;
 pub mod tally;
 pub mod traffic;
 pub mod verdict;
