--- a/crates/bench/src/load/mod.rs
+++ b/crates/bench/src/load/mod.rs
@@ -4,3 +4,5 @@
 pub mod open;
 pub mod stage;
 pub mod tally;
+pub mod traffic;
+pub mod verdict;
