Disbelieve offers that proved wrong, so that a liar or a stalled holder can't hide a chunk

Cause: a chunk that some peer offers was never drawn from elsewhere. A peer that says it holds everything and holds nothing thus stopped the exchange: each refuted offer came back with the next answer about holdings.

Now an offer that ended in another chunk, in nothing or in a stall counts for nothing for 10 s, doubling, and an owner so refuted counts as failing for that chunk.

--- a/crates/policy/src/swarm/pick.rs
+++ b/crates/policy/src/swarm/pick.rs
@@ -18,7 +18,7 @@
 /// How many chunks an agent asks of one peer at once.
 const PEER_IN_FLIGHT: usize = 2;
 /// How often a chunk is refused for budget before it is asked for beyond the budget.
-const MAX_REFUSALS: u32 = 3;
+const BUDGET_REFUSALS: u32 = 3;
 /// How long an agent waits for its peers' first answers before it draws from the origin.
 const FIRST_ANSWERS: std::time::Duration = std::time::Duration::from_secs(1);
 /// The backlog of chunks from other regions beyond which some come straight from the origin.
@@ -294,7 +294,7 @@
             .get(&chunk.digest)
             .copied()
             .unwrap_or_default();
-        refusals < MAX_REFUSALS
+        refusals < BUDGET_REFUSALS
             && self
                 .usable_holders(version, index, is_remote, now)
                 .any(|(_, sent)| sent + u64::from(chunk.bytes) <= self.budget(version))
--- a/crates/policy/src/swarm/version.rs
+++ b/crates/policy/src/swarm/version.rs
@@ -20,6 +20,18 @@
     pub sent_bytes: u64,
 }
 
+/// The shortest time for which an offer of a chunk is not believed after it proved wrong.
+const MIN_DISBELIEF: Duration = Duration::from_secs(10);
+/// How often that time doubles.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// An offer of one chunk that proved wrong.
+#[derive(Clone, Copy, Debug, Default)]
+struct Disbelief {
+    until: Instant,
+    times: u32,
+}
+
 /// How far an owner has come with the chunks that it owns.
 #[derive(Clone, Debug)]
 struct Progress {
@@ -49,6 +61,7 @@
     neighbours: BTreeSet<name::Vm>,
     local: BTreeSet<name::Vm>,
     answered: BTreeSet<name::Vm>,
+    disbeliefs: BTreeMap<name::Vm, BTreeMap<usize, Disbelief>>,
 }
 
 /// The owners before this agent in each chunk's orders; only those are ever waited for.
@@ -87,6 +100,7 @@
             neighbours: BTreeSet::new(),
             local: BTreeSet::new(),
             answered: BTreeSet::new(),
+            disbeliefs: BTreeMap::new(),
         }
     }
 
@@ -108,6 +122,7 @@
         let present: BTreeSet<_> = members.iter().map(|member| &member.vm).collect();
         self.offers.retain(|vm, _| present.contains(vm));
         self.answered.retain(|vm| present.contains(vm));
+        self.disbeliefs.retain(|vm, _| present.contains(vm));
         self.set_duties(me);
         self.set_progress(members, now);
         self.count_holders();
@@ -200,8 +215,17 @@
         watched.iter().all(|vm| self.answered.contains(vm))
     }
 
-    pub(crate) fn take_offer(&mut self, vm: &name::Vm, offer: Option<Offer>, now: Instant) {
+    pub(crate) fn take_offer(&mut self, vm: &name::Vm, mut offer: Option<Offer>, now: Instant) {
         self.answered.insert(vm.clone());
+        if let (Some(offer), Some(wrong)) = (&mut offer, self.disbeliefs.get(vm)) {
+            let believed_again = |disbelief: &Disbelief| disbelief.until <= now;
+            wrong
+                .iter()
+                .filter(|(_, disbelief)| !believed_again(disbelief))
+                .for_each(|(index, _)| {
+                    offer.held.remove(*index);
+                });
+        }
         if let Some(progress) = self.progress.get_mut(vm) {
             let held = match &offer {
                 Some(offer) => progress
@@ -232,8 +256,14 @@
         self.forget_offer(vm);
     }
 
-    /// The peer did not hold a chunk that it had offered.
-    pub(crate) fn refute(&mut self, vm: &name::Vm, index: usize) {
+    /// The peer did not give a chunk that it had offered; for a while that offer counts for
+    /// nothing, so that the chunk can come another way.
+    pub(crate) fn refute(&mut self, vm: &name::Vm, index: usize, now: Instant) {
+        let wrong = self.disbeliefs.entry(vm.clone()).or_default();
+        let disbelief = wrong.entry(index).or_default();
+        let span = MIN_DISBELIEF * 2u32.pow(disbelief.times.min(MAX_DOUBLINGS));
+        disbelief.until = now + span;
+        disbelief.times += 1;
         let is_local = self.is_local(vm);
         let was_offered = self
             .offers
@@ -244,6 +274,13 @@
         }
     }
 
+    fn is_refuted(&self, vm: &name::Vm, index: usize, now: Instant) -> bool {
+        self.disbeliefs
+            .get(vm)
+            .and_then(|wrong| wrong.get(&index))
+            .is_some_and(|disbelief| disbelief.until > now)
+    }
+
     /// Whether all owners before this agent have made no progress for `patience`.
     pub(crate) fn is_acting_regional(
         &self,
@@ -251,21 +288,23 @@
         patience: Duration,
         now: Instant,
     ) -> bool {
-        self.are_failing(self.orders.regional.get(index), patience, now)
+        self.are_failing(self.orders.regional.get(index), index, patience, now)
     }
 
     /// The same for the draw from the origin.
     pub(crate) fn is_acting_global(&self, index: usize, patience: Duration, now: Instant) -> bool {
-        self.are_failing(self.orders.global.get(index), patience, now)
+        self.are_failing(self.orders.global.get(index), index, patience, now)
     }
 
     fn are_failing(
         &self,
         before: Option<&Vec<name::Vm>>,
+        index: usize,
         patience: Duration,
         now: Instant,
     ) -> bool {
-        before.is_some_and(|before| before.iter().all(|vm| self.is_failing(vm, patience, now)))
+        let is_failing = |vm| self.is_refuted(vm, index, now) || self.is_failing(vm, patience, now);
+        before.is_some_and(|before| before.iter().all(is_failing))
     }
 
     fn is_failing(&self, vm: &name::Vm, patience: Duration, now: Instant) -> bool {
