--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,5 +3,7 @@
 pub mod cmd;
 pub mod demo;
 pub mod error;
+pub mod feed;
 pub mod fleet;
 pub mod load;
+pub mod replicas;
