--- a/crates/policy/src/swarm/machine.rs
+++ b/crates/policy/src/swarm/machine.rs
@@ -312,7 +312,7 @@
                 self.standings.defer(&task.source, retry, now);
                 let refusals = self.refusals.entry(task.digest).or_default();
                 *refusals += 1;
-                if *refusals % MAX_REFUSALS == 0 {
+                if refusals.is_multiple_of(MAX_REFUSALS) {
                     self.refute(&task, now);
                 }
                 self.give_back(&task);
--- a/crates/policy/src/swarm/source.rs
+++ b/crates/policy/src/swarm/source.rs
@@ -102,7 +102,7 @@
         let standing = self.0.entry(source.clone()).or_default();
         standing.avoided_until = standing.avoided_until.max(now + retry.min(MAX_BUSY));
         standing.refusals += 1;
-        if standing.refusals % MAX_REFUSALS == 0 {
+        if standing.refusals.is_multiple_of(MAX_REFUSALS) {
             self.fail(source, now);
         }
     }
