--- a/crates/policy/src/swarm/machine.rs
+++ b/crates/policy/src/swarm/machine.rs
@@ -19,6 +19,9 @@
 /// The time without progress after which the next in order takes over.
 pub const DEFAULT_STALL_AFTER: Duration = Duration::from_secs(3);
 
+/// After how many refusals of a chunk the offer of the last holder counts for nothing.
+const MAX_REFUSALS: u32 = 12;
+
 /// How an agent takes part.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -266,8 +269,13 @@
 
     /// What a peer holds of a version; nothing if it does not know the manifest.
     pub fn take_offer(&mut self, watch: &Watch, offer: Option<Offer>, now: Instant) {
-        if let Some(version) = self.versions.get_mut(&watch.manifest) {
-            version.take_offer(&watch.vm, offer, now);
+        let is_failing = self
+            .standings
+            .is_failing(&Source::Peer(watch.vm.clone()), now);
+        match self.versions.get_mut(&watch.manifest) {
+            Some(version) if is_failing => version.lose(&watch.vm, now),
+            Some(version) => version.take_offer(&watch.vm, offer, now),
+            None => {}
         }
     }
 
@@ -292,17 +300,23 @@
                 self.slowest = took.max(self.slowest.mul_f64(0.9));
                 self.hold(&task.digest, now);
             }
-            Outcome::Corrupt => self.standings.distrust(&task.source, now),
-            Outcome::NotHeld => {
+            Outcome::Corrupt => {
+                self.standings.distrust(&task.source, now);
+                self.refute(&task, now);
+            }
+            Outcome::NotHeld | Outcome::Failed => {
                 self.standings.fail(&task.source, now);
-                self.refute(&task);
+                self.refute(&task, now);
             }
             Outcome::Busy(retry) => {
                 self.standings.defer(&task.source, retry, now);
-                *self.refusals.entry(task.digest).or_default() += 1;
+                let refusals = self.refusals.entry(task.digest).or_default();
+                *refusals += 1;
+                if refusals.is_multiple_of(MAX_REFUSALS) {
+                    self.refute(&task, now);
+                }
                 self.give_back(&task);
             }
-            Outcome::Failed => self.standings.fail(&task.source, now),
             Outcome::Unwanted => {}
             Outcome::Refused => {
                 self.standings.fail(&task.source, now);
@@ -374,13 +388,13 @@
         now.since(version.progress_at) > self.patience() * 2
     }
 
-    fn refute(&mut self, task: &Task) {
+    fn refute(&mut self, task: &Task, now: Instant) {
         let Source::Peer(vm) = &task.source else {
             return;
         };
         for (manifest, place) in self.index.get(&task.digest).into_iter().flatten() {
             if let Some(version) = self.versions.get_mut(manifest) {
-                version.refute(vm, *place);
+                version.refute(vm, *place, now);
             }
         }
     }
