--- a/crates/bench/src/cmd/mod.rs
+++ b/crates/bench/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 
 use crate::error::Error;
 
+pub mod agent;
 pub mod capacity;
 pub mod cold;
 pub mod demo;
@@ -23,6 +24,10 @@
 }
 
 const ENTRIES: &[Entry] = &[
+    Entry {
+        command: agent::command,
+        run: agent::run,
+    },
     Entry {
         command: capacity::command,
         run: capacity::run,
