--- a/crates/agent/tests/model.rs
+++ b/crates/agent/tests/model.rs
@@ -199,7 +199,7 @@
     let client = agent.client().await;
     let mut running = Vec::new();
     for attempt in 0..2 {
-        let call = Call::stream(attempt, &version.id, "long", 300);
+        let call = Call::stream(attempt, &version.id, "long", 1_500);
         running.push(client.head(call).await.unwrap());
     }
     let gate = agent.daemon().site().gate.clone();
@@ -211,6 +211,8 @@
             .is_err()
     );
     wait(|| gate.load().queued == 0).await;
+    // It left by itself, not because its turn came.
+    assert_eq!(gate.load().running, 2);
     drop(running);
     wait(|| gate.load().running == 0).await;
     assert!(!ran(&engine, 9));
--- a/crates/agent/tests/once.rs
+++ b/crates/agent/tests/once.rs
@@ -270,7 +270,7 @@
     });
     let client = agent.client().await;
     let answer = client.send(Call::hold(1, "key")).await;
-    stopped.recv().unwrap();
+    stopped.recv_timeout(common::LIMIT).unwrap();
     assert_ne!(outcome(&answer), Outcome::Ran);
     let config = service::Config::default();
     let begin = time::Instant::now();
--- a/crates/agent/tests/orders.rs
+++ b/crates/agent/tests/orders.rs
@@ -111,16 +111,30 @@
 async fn an_engine_that_serves_another_manifest_is_not_routable() {
     let engine = engine(false).await;
     let version = Version::new("sand", "3");
+    let good = Version::new("quote", "1");
     engine.serve(version.id.clone(), domain::digest::Digest::of(b"other"));
+    engine.serve(good.id.clone(), good.pin.digest);
     let agent = Agent::start(engine_settings(engine.addr())).await;
-    agent.feed.set(vec![version.rollout(Stage::Ready, 1)]);
+    // The state is known, but too old for an order that would mend it.
+    let rollouts = [&version, &good].map(|version| version.rollout(Stage::Ready, 1));
+    agent.feed.set(rollouts.into());
+    agent.feed.set_live(false);
+    agent.clock.sleep(6_000);
+    agent.wait_served(&good.id).await;
     let client = agent.client().await;
     let answer = client.send(Call::model(1, &version.id, "a", 2)).await;
     assert_eq!(answer.problem().outcome, Outcome::NotRun);
-    // Its foreign version is unloaded, and the pinned one loaded in its place.
+    // With fresh state the foreign version is unloaded, and the pinned one loaded in its place.
     agent.depot.hold(&version);
+    agent.depot.hold(&good);
+    agent.feed.set_live(true);
     agent.wait_served(&version.id).await;
-    assert_eq!(engine.state().serving[0].digest, version.pin.digest);
+    let state = engine.state();
+    let served = state
+        .serving
+        .iter()
+        .find(|served| served.artifact == version.id);
+    assert_eq!(served.unwrap().digest, version.pin.digest);
     assert_eq!(engine.stats().started, 0);
 }
 
