--- a/crates/bench/src/cmd/agent.rs
+++ b/crates/bench/src/cmd/agent.rs
@@ -17,7 +17,7 @@
 use crate::{
     error::Error,
     fleet::{Fleet, layout::Layout, lists::Builder},
-    load::stage,
+    load::setup,
 };
 
 const MODEL: &str = "assistant";
@@ -71,8 +71,8 @@
         .with_service("booking")
         .with_customer("skippers", "large")
         .build();
-    stage::apply(&fleet, &lists, &[VERSION])?;
-    stage::settle();
+    setup::apply(&fleet, &lists, &[VERSION])?;
+    setup::settle();
     runtime.block_on(measure(&fleet))
 }
 
--- a/crates/bench/src/cmd/cold.rs
+++ b/crates/bench/src/cmd/cold.rs
@@ -21,7 +21,7 @@
         client::{Caller, Chat},
         http,
         pace::{self, Sample},
-        stage,
+        setup,
     },
 };
 
@@ -89,7 +89,7 @@
         .with_model(MODEL, &["1"])
         .with_customer("skippers", "large")
         .build();
-    stage::apply(&fleet, &lists, &[VERSION])?;
+    setup::apply(&fleet, &lists, &[VERSION])?;
     for ratio in ratios {
         for mode in [Mode::Gate, Mode::RoundRobin] {
             let line = measure(&mut fleet, &runtime, ratio, mode)?;
@@ -170,7 +170,7 @@
                 engine.restart()?;
             }
             for addr in &joining {
-                stage::wait_until_loaded(*addr).await?;
+                setup::wait_until_loaded(*addr).await?;
             }
             callers.has_joined.store(true, Ordering::Relaxed);
             Ok::<_, Error>(begin.elapsed())
@@ -222,7 +222,7 @@
     let expected = text::answer(VERSION, None, &prompt("measured"), TOKENS);
     let part = |is_in: &dyn Fn(Duration) -> bool| {
         let chosen = samples.iter().filter(|sample| is_in(sample.sent_at));
-        let tally = stage::count(chosen.map(|sample| (&sample.answer, expected.clone())));
+        let tally = setup::count(chosen.map(|sample| (&sample.answer, expected.clone())));
         let millis = |hundredths| tally.percentile(hundredths).as_secs_f64() * 1e3;
         json!({
             "calls": tally.calls, "whole": tally.whole, "refused": tally.not_run,
--- a/crates/bench/src/cmd/ledger.rs
+++ b/crates/bench/src/cmd/ledger.rs
@@ -16,7 +16,7 @@
     fleet::{Fleet, layout::Layout, lists::Builder},
     load::{
         client::{Answer, Caller},
-        http as plain, stage,
+        http as plain, setup,
         tally::Tally,
     },
 };
@@ -54,8 +54,8 @@
         .with_service("booking")
         .with_customer("skippers", "large")
         .build();
-    stage::apply(&fleet, &lists, &[])?;
-    stage::settle();
+    setup::apply(&fleet, &lists, &[])?;
+    setup::settle();
     let entries = fleet.caller_addrs();
     for method in [Method::GET, Method::POST] {
         runtime.block_on(load(&entries, 32, WARMING, &method));
--- a/crates/bench/src/cmd/share.rs
+++ b/crates/bench/src/cmd/share.rs
@@ -12,7 +12,7 @@
     load::{
         client::{Answer, Caller, Chat},
         pace::{self, Sample},
-        stage,
+        setup,
     },
 };
 
@@ -64,8 +64,8 @@
             .with_model(MODEL, &["1"])
             .with_customer(customer, customer);
     }
-    stage::apply(&fleet, &lists.build(), &[VERSION])?;
-    stage::settle();
+    setup::apply(&fleet, &lists.build(), &[VERSION])?;
+    setup::settle();
     for mode in [Mode::Gate, Mode::RoundRobin] {
         let entries: Vec<_> = fleet.caller_addrs();
         let engines: Vec<_> = fleet.plan().upstreams.iter().map(|m| m.addr).collect();
@@ -149,7 +149,7 @@
         worst = worst.max(error);
         let expected = text::answer(VERSION, None, &prompt(customer), TOKENS);
         let all = samples[customer].iter();
-        let tally = stage::count(all.map(|sample| (&sample.answer, expected.clone())));
+        let tally = setup::count(all.map(|sample| (&sample.answer, expected.clone())));
         rows.push(json!({
             "customer": customer, "share": share, "asked_of_share": asked, "got": part,
             "error": error, "calls": tally.calls, "whole": tally.whole, "refused": tally.not_run,
