--- a/crates/bench/src/load/pace.rs
+++ b/crates/bench/src/load/pace.rs
@@ -11,17 +11,18 @@
 
 /// A call that was sent and answered.
 #[derive(Clone, Debug)]
-pub struct Sample {
+pub struct Sample<T = Answer> {
     /// When it was sent, from the start on.
     pub sent_at: Duration,
     /// What came of it.
-    pub answer: Answer,
+    pub answer: T,
 }
 
 /// Sends calls at a rate for a time, and waits for all answers. `call` gets the number of the call.
-pub async fn run<F>(rate_per_s: f64, span: Duration, call: impl Fn(u64) -> F) -> Vec<Sample>
+pub async fn run<T, F>(rate_per_s: f64, span: Duration, call: impl Fn(u64) -> F) -> Vec<Sample<T>>
 where
-    F: Future<Output = Answer> + Send + 'static,
+    T: Send + 'static,
+    F: Future<Output = T> + Send + 'static,
 {
     let begin = Instant::now();
     let mut ticks = time::interval(Duration::from_secs_f64(1.0 / rate_per_s));
