--- /dev/null
+++ b/crates/relay/tests/whole/common.rs
@@ -0,0 +1,310 @@
+//! A relay over a fixed state, and instances that answer by a script.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, VecDeque},
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use domain::{
+    clock::{Clock, Instant},
+    instance::{Instance, Layers, Phase},
+    record::{Batch, Cursor, Delta, Record, Routing},
+    routing::{Engine, Kind, Limits, Route, Service, Share},
+};
+use http::{HeaderMap, HeaderValue, request, response};
+use opentelemetry::metrics::{MeterProvider, noop::NoopMeterProvider};
+use peer::uplink::Feed;
+use policy::{
+    age::Bound,
+    placement::{Grace, Placer},
+    view::View,
+};
+use rand::{SeedableRng, rngs::StdRng};
+use relay::{
+    dialect::{Ask, Dialect, Order, Reply},
+    front::Front,
+    site::{Bounds, Given, Site, State},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::{LocalSet, spawn_local},
+};
+
+/// Runs a test on one thread.
+pub(crate) fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Headers as short as can be.
+struct Plain;
+
+impl Dialect for Plain {
+    fn ask(&self, head: &request::Parts) -> Ask {
+        let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        Ask {
+            id: text("id").map(Arc::from),
+            patience: Some(Duration::from_secs(5)),
+            last_event: text("last").and_then(|last| last.parse().ok()),
+            ..Ask::default()
+        }
+    }
+
+    fn order(&self, headers: &mut HeaderMap, order: &Order<'_>) {
+        if let Some(last) = order.last_event {
+            headers.insert("last", HeaderValue::from(last));
+        }
+    }
+
+    fn reply(&self, head: &response::Parts) -> Reply {
+        let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        Reply {
+            id: text("id").map(Arc::from),
+            is_not_run: head.headers.contains_key("not-run"),
+            is_sealed: head.headers.contains_key("seal"),
+            version: None,
+        }
+    }
+}
+
+/// An instance: it answers each request with the next bytes of its script and keeps the heads.
+pub(crate) struct Upstream {
+    pub(crate) address: SocketAddr,
+    pub(crate) heads: Rc<RefCell<Vec<String>>>,
+}
+
+impl Upstream {
+    pub(crate) async fn start(answers: &[&str]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let heads = Rc::new(RefCell::new(Vec::new()));
+        let script: VecDeque<String> = answers.iter().map(|answer| (*answer).to_owned()).collect();
+        let (kept, script) = (heads.clone(), Rc::new(RefCell::new(script)));
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(answer(stream, script.clone(), kept.clone()));
+            }
+        });
+        Self { address, heads }
+    }
+}
+
+async fn answer(
+    mut stream: TcpStream,
+    script: Rc<RefCell<VecDeque<String>>>,
+    heads: Rc<RefCell<Vec<String>>>,
+) {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read_u8().await {
+            Ok(byte) => head.push(byte),
+            Err(_) => return,
+        }
+    }
+    heads.borrow_mut().push(String::from_utf8(head).unwrap());
+    let answer = script.borrow_mut().pop_front().unwrap_or_default();
+    let _ = stream.write_all(answer.as_bytes()).await;
+    if answer.contains("keep: 1") {
+        let _ = stream.read_u8().await;
+    }
+}
+
+/// Time since the start of the test.
+struct Steady(std::time::Instant);
+
+impl Clock for Steady {
+    fn now(&self) -> Instant {
+        Instant::from_millis(60_000) + self.0.elapsed()
+    }
+
+    fn wall_ms(&self) -> u64 {
+        0
+    }
+}
+
+pub(crate) struct Fixed {
+    view: Arc<View>,
+    bound: Cell<Bound>,
+}
+
+impl State for Fixed {
+    fn feed(&self) -> Arc<Feed> {
+        Arc::new(Feed {
+            view: self.view.clone(),
+            bound: self.bound.get(),
+        })
+    }
+}
+
+fn route(prefix: &str, kind: Kind) -> Record {
+    Record::Route(Route {
+        name: prefix.into(),
+        host: "h".into(),
+        prefix: prefix.into(),
+        kind,
+        timeout_ms: 3_000,
+        target_ms: 400,
+        pause_ms: None,
+        priority: 0,
+        attempts: 2,
+        is_public: true,
+        shares: vec![Share {
+            service: "s".into(),
+            weight: 1,
+        }],
+        regions: Vec::new(),
+    })
+}
+
+fn instance(n: usize, address: SocketAddr) -> Record {
+    Record::Instance(Box::new(Instance {
+        id: format!("i-{n}").as_str().into(),
+        born_ms: 1,
+        service: "s".into(),
+        address,
+        zone: "z".into(),
+        slots: 2,
+        phase: Phase::Ready,
+        cold_ms: 0,
+        layers: vec![Layers {
+            model: "m".into(),
+            version: 1,
+            begin: 0,
+            end: None,
+        }],
+        sequence: 1,
+    }))
+}
+
+fn engine() -> Engine {
+    Engine {
+        models: vec!["m".into()],
+        slots: 2,
+        stride: 1,
+        step_us: 1,
+        sequence_ns: 1,
+        context_ns: 1,
+        read_per_s: 1_000,
+        read_chunk: 1,
+        memory_tokens: 1,
+        usual_prompt: 1,
+        usual_answer: 1,
+        layers: 1,
+        chunks: 1,
+        chunk_bytes: 1,
+        load_ms: 1,
+    }
+}
+
+/// A relay that takes connections.
+pub(crate) struct Relay {
+    pub(crate) site: Rc<Site>,
+    pub(crate) address: SocketAddr,
+    state: Rc<Fixed>,
+}
+
+impl Relay {
+    /// A relay before these instances, which it chooses in turn.
+    pub(crate) fn start(upstreams: &[SocketAddr]) -> Self {
+        let records = [
+            Record::Routing(Routing {
+                version: 1,
+                limits: Limits::default(),
+                has_callers: false,
+            }),
+            Record::Service(Box::new(Service {
+                name: "s".into(),
+                max_connections: 10,
+                cold: None,
+                engine: Some(engine()),
+                origin: None,
+            })),
+            route("/again/", Kind::Idempotent),
+            route("/once/", Kind::Once),
+            route("/stream/", Kind::Stream { is_resumable: true }),
+        ];
+        let instances = upstreams.iter().enumerate();
+        let instances = instances.map(|(n, address)| instance(n, *address));
+        let mut view = View::default();
+        view.apply(Batch {
+            is_snapshot: true,
+            deltas: records
+                .into_iter()
+                .chain(instances)
+                .map(Delta::Set)
+                .collect(),
+            revision: Default::default(),
+            commit: 1,
+            cursor: Cursor::default(),
+            age_ms: 0,
+        })
+        .unwrap();
+        let clock: Arc<dyn Clock> = Arc::new(Steady(std::time::Instant::now()));
+        let state = Rc::new(Fixed {
+            view: Arc::new(view),
+            bound: Cell::new(Bound::new(clock.now(), Duration::ZERO)),
+        });
+        let grace = Grace {
+            seen: Duration::from_secs(8),
+            unseen: Duration::from_secs(1),
+        };
+        let regions = HashMap::from([("z".into(), "r".into())]);
+        let rng = StdRng::seed_from_u64(1);
+        let site = Site::new(Given {
+            placer: Placer::new("z".into(), regions, grace, rng, Instant::ZERO),
+            clock,
+            state: state.clone(),
+            dialect: Rc::new(Plain),
+            bounds: Bounds {
+                max_age: Duration::from_secs(60),
+                ready_age: Duration::from_secs(60),
+                retry_percent: 20,
+                retry_slack: 100,
+            },
+            logger: telemetry::log::discard(),
+            meter: NoopMeterProvider::new().meter("test"),
+        });
+        let front = Front::bind("127.0.0.1:0".parse().unwrap(), site.clone()).unwrap();
+        let address = front.address().unwrap();
+        let second = Duration::from_secs(1);
+        spawn_local(front.run(std::future::pending(), second, second));
+        Self {
+            site,
+            address,
+            state,
+        }
+    }
+
+    /// Lets nobody vouch for the state any more.
+    pub(crate) fn forget(&self) {
+        self.state.bound.set(Bound::UNKNOWN);
+    }
+
+    /// Sends a request on a connection of its own, and returns all that comes back.
+    pub(crate) async fn send(&self, path: &str) -> String {
+        let request =
+            format!("GET {path} HTTP/1.1\r\nhost: h:80\r\nid: q\r\nconnection: close\r\n\r\n");
+        self.send_raw(&request).await
+    }
+
+    /// Sends these bytes on a connection of their own, and returns all that comes back.
+    pub(crate) async fn send_raw(&self, request: &str) -> String {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        // The relay may refuse a request before it has read all of it.
+        let _ = stream.write_all(request.as_bytes()).await;
+        let mut answer = Vec::new();
+        let read = tokio::time::timeout(Duration::from_secs(10), stream.read_to_end(&mut answer));
+        // A connection that is reset ends the answer too.
+        let _ = read.await.unwrap();
+        String::from_utf8(answer).unwrap()
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/whole/gate.rs
@@ -0,0 +1,52 @@
+//! Leave to run: who waits, and who is refused at once.
+
+use std::time::Duration;
+
+use crate::common::{Relay, run};
+use policy::placement::Refusal;
+use relay::gate;
+
+const TARGET: Duration = Duration::from_millis(400);
+/// Late answers after which the limit has fallen.
+const ANSWERS: usize = 200;
+
+/// Fails by a panic where the place in the queue is built although there is no room.
+#[test]
+fn a_full_queue_refuses_at_once() {
+    run(async {
+        let relay = Relay::start(&[]);
+        let service = "s".into();
+        let enter = async || gate::enter(&relay.site, &service, TARGET, || Some(2.0)).await;
+        let mut passes = Vec::new();
+        for _ in 0..8 {
+            passes.push(enter().await.ok().unwrap());
+        }
+        // Adjustments come with time; each falls below what runs.
+        while let Ok(pass) = enter().await {
+            (0..ANSWERS).for_each(|_| pass.begin(TARGET * 4));
+            tokio::time::sleep(Duration::from_millis(260)).await;
+        }
+        let waiting = futures::future::join_all((0..12).map(|_| enter()));
+        let refused = waiting.await;
+        assert!(
+            refused
+                .iter()
+                .all(|entered| matches!(entered, Err(Refusal::Busy)))
+        );
+        drop(passes);
+        assert!(enter().await.is_ok(), "there is room again");
+    });
+}
+
+#[test]
+fn what_nobody_may_serve_does_not_wait_for_a_turn() {
+    run(async {
+        let relay = Relay::start(&[]);
+        let service = "s".into();
+        let enter = async |slots| gate::enter(&relay.site, &service, TARGET, || slots).await;
+        let held = enter(Some(0.1)).await;
+        assert!(held.is_ok());
+        assert!(matches!(enter(Some(0.1)).await, Err(Refusal::Busy)));
+        assert!(matches!(enter(None).await, Err(Refusal::Nobody)));
+    });
+}
--- /dev/null
+++ b/crates/relay/tests/whole/main.rs
@@ -0,0 +1,8 @@
+//! A relay at work, before instances that answer by a script.
+
+#![allow(clippy::unwrap_used)]
+
+mod attempts;
+mod common;
+mod gate;
+mod heads;
--- /dev/null
+++ b/crates/stager/src/port.rs
@@ -0,0 +1,77 @@
+//! The borders to the engine beside the agent and to the origin of weights.
+
+use bytes::Bytes;
+use domain::{digest::Digest, name};
+use futures::future::LocalBoxFuture;
+use snafu::Snafu;
+
+/// A call got no good answer.
+#[derive(Debug, Snafu)]
+#[snafu(display("could not {step}: {reason}"), visibility(pub))]
+pub struct Error {
+    /// What was asked.
+    pub step: &'static str,
+    /// What was seen.
+    pub reason: String,
+}
+
+/// A call's answer.
+pub type Answer<'a, T> = LocalBoxFuture<'a, Result<T, Error>>;
+
+/// What the engine says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Each model that it serves alone, with the version.
+    pub serving: Vec<(name::Artifact, u64)>,
+    /// Whether an order is in progress.
+    pub is_busy: bool,
+}
+
+impl Report {
+    /// The version of a model that it serves.
+    pub fn version_of(&self, model: &name::Artifact) -> Option<u64> {
+        let found = self.serving.iter().find(|(served, _)| served == model);
+        found.map(|(_, version)| *version)
+    }
+}
+
+/// The engine beside the agent.
+pub trait Engine {
+    /// What the engine says of itself, fresh. `layers` is how many a whole model has.
+    fn report(&self, layers: u32) -> Answer<'_, Report>;
+    /// The chunks that lie staged for a model, of whatever version.
+    fn staged<'a>(&'a self, model: &'a name::Artifact) -> Answer<'a, Vec<usize>>;
+    /// A staged chunk, or nothing if there is none.
+    fn read<'a>(&'a self, model: &'a name::Artifact, index: usize) -> Answer<'a, Option<Bytes>>;
+    /// Stages a chunk in the place of what lay there.
+    fn write<'a>(&'a self, model: &'a name::Artifact, index: usize, chunk: Bytes)
+    -> Answer<'a, ()>;
+    /// Orders the engine to load what is staged once its running requests have ended.
+    fn load<'a>(&'a self, model: &'a name::Artifact, version: u64) -> Answer<'a, ()>;
+}
+
+/// A version's chunks as the origin lists them. Nothing vouches for the list but the origin.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Manifest {
+    /// The version.
+    pub version: u64,
+    /// The length of each chunk, in bytes.
+    pub chunk_bytes: usize,
+    /// The digests of the chunks, in order.
+    pub digests: Vec<Digest>,
+}
+
+/// The origin of weights. What it sends may be corrupt or cut off.
+pub trait Origin {
+    /// The list of a version's chunks.
+    fn manifest<'a>(&'a self, model: &'a name::Artifact, version: u64) -> Answer<'a, Manifest>;
+    /// A chunk, not verified.
+    fn chunk<'a>(
+        &'a self,
+        model: &'a name::Artifact,
+        version: u64,
+        index: usize,
+    ) -> Answer<'a, Bytes>;
+    /// The digest of bytes, in the way of the origin's lists.
+    fn digest(&self, bytes: &[u8]) -> Digest;
+}
--- /dev/null
+++ b/crates/stager/src/stager.rs
@@ -0,0 +1,366 @@
+//! The agent itself: for each model the engine should serve the newest named version.
+
+use std::{
+    cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
+
+use domain::{
+    artifact,
+    clock::{Clock, Instant},
+    digest::Digest,
+    name,
+    vm::{Holding, Lifecycle, Status, Upstream, Vm},
+};
+use peer::{chunks, connection::Dialer, uplink::Feed};
+use policy::{owner::Member, spread::Spread, switch, view::View};
+use slog::{Logger, info, warn};
+use tokio::{sync::watch, time};
+
+use crate::{
+    bring::{Bring, Peers, Roster},
+    link::Link,
+    port::{Engine, Manifest, Origin},
+    share::Share,
+    shelf::Shelf,
+};
+
+/// How often the state is looked at.
+const PERIOD: Duration = Duration::from_millis(50);
+/// How often the engine is asked what it serves while nothing is to be done.
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// The pause after something failed that must be tried again.
+const RETRY: Duration = Duration::from_millis(200);
+/// How long entries get to learn that the engine moves before it does: a feed's gathering time,
+/// twice, and a link between regions.
+const NOTICE: Duration = Duration::from_millis(120);
+/// The version of a model of which none was named.
+const FIRST_VERSION: u64 = 1;
+
+/// What an agent is given.
+pub struct Given {
+    /// The agent's VM.
+    pub me: Member,
+    /// The service of the engine beside it.
+    pub service: name::Service,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The state.
+    pub state: Rc<dyn Fn() -> Arc<Feed>>,
+    /// The engine beside the agent.
+    pub engine: Rc<dyn Engine>,
+    /// Makes the way to the origin at an address.
+    pub origin: Rc<dyn Fn(SocketAddr) -> Rc<dyn Origin>>,
+    /// The way to other agents.
+    pub dialer: Dialer,
+    /// What the agent tells of itself: who it is at first, and from then on how its engine stands.
+    pub presence: watch::Sender<Option<Arc<Vm>>>,
+    /// The rate of the VM's link in each direction, in bytes per second.
+    pub link_bytes_per_s: u64,
+    /// How long all engines may take to serve a version once it is named.
+    pub limit: Duration,
+    /// Where to log.
+    pub logger: Logger,
+}
+
+/// The agent beside one engine.
+pub struct Stager {
+    given: Given,
+    shelf: Rc<Shelf>,
+    link: Rc<Link>,
+    peers: Peers,
+    started_at: Instant,
+    /// When each version was first seen; nothing for those that were there before the agent.
+    named: RefCell<HashMap<(name::Artifact, u64), Option<Instant>>>,
+}
+
+/// What a model's engine should do next.
+struct Task {
+    model: name::Artifact,
+    version: u64,
+    layers: u32,
+    origin: SocketAddr,
+}
+
+impl Stager {
+    /// An agent that knows nothing yet.
+    pub fn new(given: Given) -> Rc<Self> {
+        let started_at = given.clock.now();
+        Rc::new(Self {
+            peers: Peers::new(given.dialer.clone()),
+            shelf: Rc::default(),
+            link: Rc::new(Link::new(given.link_bytes_per_s, given.clock.clone())),
+            named: RefCell::default(),
+            started_at,
+            given,
+        })
+    }
+
+    /// What the agent offers to others.
+    pub fn service(&self) -> Rc<dyn chunks::Service> {
+        Rc::new(Share {
+            shelf: self.shelf.clone(),
+            link: self.link.clone(),
+        })
+    }
+
+    /// Brings, stages and orders for as long as it is polled.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            let task = self.observe();
+            match task {
+                Some(task) => self.serve(&task).await,
+                None => time::sleep(PERIOD).await,
+            }
+        }
+    }
+
+    /// Takes in the state, and says which version the engine should serve.
+    fn observe(&self) -> Option<Task> {
+        let feed = (self.given.state)();
+        let view = &feed.view;
+        let service = view.services.get(&self.given.service)?;
+        let engine = service.engine.as_ref()?;
+        let origin = view.services.values().find_map(|service| service.origin)?;
+        let model = engine.models.first()?.clone();
+        let version = view.targets.get(&model).copied().unwrap_or(FIRST_VERSION);
+        self.note(&model, version);
+        Some(Task {
+            model,
+            version,
+            layers: engine.layers,
+            origin,
+        })
+    }
+
+    /// Notes when a version appeared. What is there when the first state comes was named before.
+    fn note(&self, model: &name::Artifact, version: u64) {
+        let mut named = self.named.borrow_mut();
+        let is_first = !named.keys().any(|(known, _)| known == model);
+        let now = self.given.clock.now();
+        named
+            .entry((model.clone(), version))
+            .or_insert((!is_first).then_some(now));
+    }
+
+    fn is_current(&self, task: &Task) -> bool {
+        self.observe().is_some_and(|now| {
+            now.model == task.model && now.version == task.version && now.origin == task.origin
+        })
+    }
+
+    /// Brings the engine to one version, until another one is named.
+    async fn serve(self: &Rc<Self>, task: &Task) {
+        let origin = (self.given.origin)(task.origin);
+        let Some(manifest) = self.manifest(task, &origin).await else {
+            return;
+        };
+        let me = self.given.me.clone();
+        let digests = manifest.digests.clone();
+        let shared = self.clone();
+        let roster = self.clone();
+        let mut bring = Bring {
+            ready_at: self.given.clock.now(),
+            tally: Default::default(),
+            spread: Spread::new(me, &digests, self.given.clock.now()),
+            version: key(task),
+            model: task.model.clone(),
+            manifest,
+            engine: self.given.engine.clone(),
+            origin,
+            shelf: self.shelf.clone(),
+            peers: self.peers.clone(),
+            logger: self.given.logger.clone(),
+            now: Rc::new(move || shared.given.clock.now()),
+            roster: Rc::new(move || roster.roster()),
+        };
+        let begun = self.given.clock.now();
+        tokio::select! {
+            brought = bring.run() => match brought {
+                Ok(()) => {}
+                Err(_) => {
+                    warn!(self.given.logger, "weights: the list of chunks is doubtful";
+                        "model" => task.model.as_str(), "version" => task.version);
+                    return time::sleep(RETRY).await;
+                }
+            },
+            () = self.overtaken(task) => return,
+        }
+        let took = self.given.clock.now().since(begun);
+        info!(self.given.logger, "weights: every chunk is verified and staged";
+            "model" => task.model.as_str(), "version" => task.version,
+            "took_ms" => took.as_millis() as u64, "from_origin" => bring.tally.origin,
+            "from_region" => bring.tally.region, "from_elsewhere" => bring.tally.elsewhere);
+        self.shelf.keep(&key(task));
+        bring.ready_at = self.given.clock.now();
+        while self.is_current(task) {
+            if !self.reconcile(task, &mut bring).await {
+                time::sleep(RETRY).await;
+            }
+        }
+    }
+
+    async fn overtaken(&self, task: &Task) {
+        while self.is_current(task) {
+            time::sleep(PERIOD).await;
+        }
+        info!(self.given.logger, "weights: overtaken"; "model" => task.model.as_str(),
+            "version" => task.version);
+    }
+
+    async fn manifest(&self, task: &Task, origin: &Rc<dyn Origin>) -> Option<Manifest> {
+        loop {
+            match origin.manifest(&task.model, task.version).await {
+                Ok(manifest) if manifest.version == task.version => return Some(manifest),
+                Ok(manifest) => warn!(self.given.logger, "weights: list of another version";
+                    "wanted" => task.version, "got" => manifest.version),
+                Err(error) => warn!(self.given.logger, "weights: no list of chunks";
+                    "model" => task.model.as_str(), "version" => task.version,
+                    "reason" => %error),
+            }
+            time::sleep(RETRY).await;
+            if !self.is_current(task) {
+                return None;
+            }
+        }
+    }
+
+    /// One look at the engine: waits if all is well, orders it to load if it is time. Says whether
+    /// nothing went wrong.
+    async fn reconcile(&self, task: &Task, bring: &mut Bring) -> bool {
+        let report = match self.given.engine.report(task.layers).await {
+            Ok(report) => report,
+            Err(error) => {
+                info!(self.given.logger, "engine: no report"; "reason" => %error);
+                return false;
+            }
+        };
+        let served = report.version_of(&task.model);
+        let is_moving = report.is_busy || served.is_none();
+        self.tell(&task.model, served, is_moving);
+        if served == Some(task.version) || report.is_busy {
+            let period = match is_moving {
+                true => PERIOD,
+                false => REPORT_PERIOD,
+            };
+            self.pause(task, period).await;
+            return true;
+        }
+        // An engine that serves nothing loses nothing by loading at once.
+        let due_at = match served {
+            Some(served) => self.due_at(task, served, bring),
+            None => self.started_at,
+        };
+        let now = self.given.clock.now();
+        if now < due_at {
+            self.pause(task, due_at.since(now).min(REPORT_PERIOD)).await;
+            return true;
+        }
+        if !bring.verify().await {
+            // What is missing is brought again before the next look.
+            return bring.run().await.is_ok();
+        }
+        // Entries turn away first, so that nothing is sent to an engine that takes nothing.
+        self.tell(&task.model, served, true);
+        time::sleep(NOTICE).await;
+        let ordered = self.given.engine.load(&task.model, task.version).await;
+        match &ordered {
+            Ok(()) => info!(self.given.logger, "engine: ordered to load";
+                "model" => task.model.as_str(), "version" => task.version, "serves" => served),
+            Err(error) => warn!(self.given.logger, "engine: order failed";
+                "model" => task.model.as_str(), "version" => task.version, "reason" => %error),
+        }
+        ordered.is_ok()
+    }
+
+    /// Tells entries which version the engine serves and whether it takes new requests.
+    fn tell(&self, model: &name::Artifact, served: Option<u64>, is_moving: bool) {
+        let holdings = served.map(|version| {
+            let version = name::Version::new(version.to_string());
+            (artifact::Id::new(model.clone(), version), Holding::Serving)
+        });
+        let lifecycle = match is_moving {
+            true => Lifecycle::Loading,
+            false => Lifecycle::Warm,
+        };
+        self.given.presence.send_if_modified(|presence| {
+            let Some(vm) = presence else {
+                return false;
+            };
+            let status = Status {
+                lifecycle,
+                holdings: holdings.into_iter().collect(),
+                ..vm.status.clone()
+            };
+            let is_news = vm.status != status;
+            if is_news {
+                let announcement = vm.announcement.clone();
+                *presence = Some(Arc::new(Vm {
+                    announcement,
+                    status,
+                }));
+            }
+            is_news
+        });
+    }
+
+    async fn pause(&self, task: &Task, span: Duration) {
+        tokio::select! {
+            () = time::sleep(span) => {}
+            () = self.overtaken(task) => {}
+        }
+    }
+
+    fn due_at(&self, task: &Task, served: u64, bring: &Bring) -> Instant {
+        // A version that was overtaken before it came was still to be served in its time.
+        let named_at = {
+            let named = self.named.borrow();
+            let later = named
+                .iter()
+                .filter(|((model, version), _)| *model == task.model && *version > served);
+            let first = later.min_by_key(|((_, version), _)| *version);
+            first.and_then(|(_, at)| *at)
+        };
+        let Some(named_at) = named_at else {
+            return self.started_at;
+        };
+        let feed = (self.given.state)();
+        let members: Vec<_> = agents(&feed.view)
+            .into_iter()
+            .map(|(member, _)| member)
+            .collect();
+        switch::due_at(
+            &self.given.me,
+            &members,
+            &bring.version,
+            named_at,
+            bring.ready_at,
+            self.given.limit,
+        )
+    }
+
+    fn roster(&self) -> Roster {
+        agents(&(self.given.state)().view)
+    }
+}
+
+/// The key under which agents speak of a version.
+fn key(task: &Task) -> Digest {
+    Digest::of(format!("{}@{}", task.model, task.version).as_bytes())
+}
+
+/// The agents beside engines that are known.
+fn agents(view: &View) -> Roster {
+    view.vms
+        .values()
+        .map(|vm| &vm.announcement)
+        .filter(|who| matches!(who.upstream, Upstream::Engine { .. }))
+        .map(|who| {
+            let member = Member {
+                vm: who.vm.clone(),
+                zone: who.zone.clone(),
+                region: who.region.clone(),
+            };
+            (member, who.chunk_addr)
+        })
+        .collect()
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! See `docs/OPERATIONS.md`, "Logs" and "Metrics".
 
+pub mod budget;
 pub mod labels;
 pub mod log;
 pub mod metrics;
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -75,18 +75,18 @@
 }
 
 impl Root {
-    /// A logger that writes to standard error, with the daemon's and the VM's name on each line.
+    /// A logger that writes to standard output, with the daemon's and the VM's name on each line.
     pub fn new(daemon: &'static str, vm: impl AsRef<str>, format: Format, level: Level) -> Self {
         let switch = Switch(Arc::new(AtomicUsize::new(level.filter().as_usize())));
         let (drain, guard) = match format {
             Format::Json => {
-                let json = slog_json::Json::default(std::io::stderr()).fuse();
+                let json = slog_json::Json::default(std::io::stdout()).fuse();
                 slog_async::Async::new(json)
                     .chan_size(QUEUE_LINES)
                     .build_with_guard()
             }
             Format::Terminal => {
-                let decorator = slog_term::TermDecorator::new().stderr().build();
+                let decorator = slog_term::TermDecorator::new().stdout().build();
                 let term = slog_term::FullFormat::new(decorator).build().fuse();
                 slog_async::Async::new(term)
                     .chan_size(QUEUE_LINES)
