Let the agent's tests wait for what they mean instead of for 50 or 100 ms

The test dropped the call 50 ms after it was sent; where the call had not reached the ledger by then, it never did. Three more tests dropped a call after 100 ms in the same way.

Ruled out: the product (the Start is never asked for, since the caller is gone).

Change: the callers go away once the service or the engine has the call, the queue holds it, or the Start is written. No check is weaker: the crashed agent's later writes are lost too, as after a crash, and the number of runs is checked before the crash as well. Of the queue it is now checked that the call was in it.

Conclusion: a fault of the tests, mended.

--- a/crates/agent/tests/common/client.rs
+++ b/crates/agent/tests/common/client.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http2::SendRequest};
 use hyper_util::rt::{TokioExecutor, TokioIo};
-use tokio::{net::TcpStream, time};
+use tokio::{net::TcpStream, task::JoinHandle, time};
 
 use super::{LIMIT, SECRET};
 
@@ -129,6 +129,12 @@
         self.sender.clone().send_request(request).await
     }
 
+    /// Sends a call whose caller goes away when the task is aborted.
+    pub fn spawn(&self, call: Call) -> JoinHandle<Result<Response<Incoming>, hyper::Error>> {
+        let client = self.clone();
+        tokio::spawn(async move { client.head(call).await })
+    }
+
     pub async fn send(&self, call: Call) -> Whole {
         let response = time::timeout(LIMIT, self.head(call))
             .await
--- a/crates/agent/tests/model.rs
+++ b/crates/agent/tests/model.rs
@@ -5,8 +5,6 @@
 
 mod common;
 
-use std::time::Duration;
-
 use common::{Agent, Call, Version, Whole, engine_settings, wait};
 use domain::{
     call::{Attempt, Outcome},
@@ -172,18 +170,18 @@
             make(&engine, fault::Fault::Late { ms: 10_000 });
         }
         let client = agent.client().await;
-        let call = client.head(Call::stream(1, &version.id, "tides?", 5_000));
+        let call = client.spawn(Call::stream(1, &version.id, "tides?", 5_000));
         match is_streaming {
             true => {
-                let mut body = call.await.unwrap().into_body();
+                let mut body = call.await.unwrap().unwrap().into_body();
                 body.frame().await.unwrap().unwrap();
                 drop(body);
             }
-            false => assert!(
-                time::timeout(Duration::from_millis(100), call)
-                    .await
-                    .is_err()
-            ),
+            false => {
+                wait(|| ran(&engine, 1)).await;
+                call.abort();
+                assert!(call.await.unwrap_err().is_cancelled());
+            }
         }
         let gate = agent.daemon().site().gate.clone();
         wait(|| gate.load().running == 0).await;
@@ -204,12 +202,10 @@
     }
     let gate = agent.daemon().site().gate.clone();
     assert_eq!(gate.load().limit, 2);
-    let queued = client.head(Call::model(9, &version.id, "queued", 2));
-    assert!(
-        time::timeout(Duration::from_millis(100), queued)
-            .await
-            .is_err()
-    );
+    let queued = client.spawn(Call::model(9, &version.id, "queued", 2));
+    wait(|| gate.load().queued == 1).await;
+    queued.abort();
+    assert!(queued.await.unwrap_err().is_cancelled());
     wait(|| gate.load().queued == 0).await;
     // It left by itself, not because its turn came.
     assert_eq!(gate.load().running, 2);
--- a/crates/agent/tests/once.rs
+++ b/crates/agent/tests/once.rs
@@ -5,12 +5,9 @@
 
 mod common;
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
 };
 
 use agent::memory::Memory;
@@ -298,9 +295,10 @@
         ..Faults::default()
     });
     let client = agent.client().await;
-    let call = client.head(Call::hold(1, "key"));
-    let vanished = time::timeout(Duration::from_millis(100), call).await;
-    assert!(vanished.is_err());
+    let call = client.spawn(Call::hold(1, "key"));
+    wait(|| runs(&service, "key") == 1).await;
+    call.abort();
+    assert!(call.await.unwrap_err().is_cancelled());
     let again = client.send(Call::hold(2, "key")).await;
     assert_eq!(again.headers[header::REPLAY], "true");
     assert_eq!(runs(&service, "key"), 1);
@@ -338,18 +336,21 @@
             });
         } else {
             // The grant is written, and the process ends before it learns of it.
-            let is_start = |write: &Write| matches!(write, Write::Start { .. });
-            agent
-                .ledger
-                .on_write(move |write| is_start(write).then_some(Fault::Unanswered));
+            agent.ledger.on_write(|write| {
+                Some(match write {
+                    Write::Start { .. } => Fault::Unanswered,
+                    _ => Fault::Lost,
+                })
+            });
         }
         let client = agent.client().await;
-        let call = client.head(Call::hold(1, "key"));
-        let _ = time::timeout(Duration::from_millis(50), call).await;
+        let call = client.spawn(Call::hold(1, "key"));
         let ledger = agent.ledger.clone();
         wait(|| ledger.count(|w| matches!(w, Write::Start { .. })) == 1).await;
+        wait(|| runs(&service, "key") == expected_runs).await;
         // A ledger that nobody can reach stands for the crash of the process.
         ledger.on_write(|_| Some(Fault::Lost));
+        call.abort();
         drop(agent.daemon.take());
         let fresh = Arc::new(TestLedger::default());
         *fresh.entries.lock() = ledger.entries.lock().clone();
