Pass over agents that stand still, and let cold engines leave the limit alone

(3) All callers that were refused by entries without a state came back at the same moment.

A faster growth of the limit: it would overshoot in every overload.

Change: a question about holdings that is open for 0.65 s counts as no answer only while most of the other agents answer theirs. Answers of cold instances don't count for the limit; what those get is bounded by their own rate. The time to come back is drawn from 1.5 to 2.5 s.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -38,6 +38,18 @@
 /// By what it grows while it is not used up.
 const RELEASE: f64 = 1.05;
 
+/// How an answer began.
+#[derive(Clone, Copy, Debug)]
+pub struct Beginning {
+    /// How long after the request was sent.
+    pub waited: Duration,
+    /// The time that was aimed at.
+    pub target: Duration,
+    /// Whether the instance was cold. Then it is late whatever the load, and what it gets is
+    /// bounded by its own rate.
+    pub is_cold: bool,
+}
+
 /// The limit of one service.
 #[derive(Clone, Debug)]
 pub struct Admission {
@@ -95,10 +107,13 @@
         self.running = self.running.saturating_sub(1);
     }
 
-    /// An answer began after `waited`, where `target` was aimed at.
-    pub fn begin(&mut self, waited: Duration, target: Duration, now: Instant) {
+    /// An answer began.
+    pub fn begin(&mut self, beginning: Beginning, now: Instant) {
+        if beginning.is_cold {
+            return;
+        }
         self.begun += 1;
-        self.late += u32::from(waited > target * TARGET_PERCENT / 100);
+        self.late += u32::from(beginning.waited > beginning.target * TARGET_PERCENT / 100);
         self.adjust(now);
     }
 
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -383,7 +383,8 @@
         Some(running + reading + distance + coldness + jitter)
     }
 
-    fn is_cold(&self, instance: &Instance, now: Instant) -> bool {
+    /// Whether the instance bears little yet.
+    pub fn is_cold(&self, instance: &Instance, now: Instant) -> bool {
         let has_returned = self
             .returned
             .get(&instance.zone)
--- a/crates/policy/src/spread.rs
+++ b/crates/policy/src/spread.rs
@@ -41,6 +41,11 @@
 /// Without progress for so long, every agent is asked what it holds.
 const STUCK: Duration = Duration::from_secs(2);
 
+/// An agent that leaves a question about its holdings unanswered for so long stands still, if most
+/// of the others answered meanwhile: an answer without news comes after 400 ms. Where the own link
+/// is narrow nobody answers in time, and nobody is passed over.
+const STANDSTILL: Duration = Duration::from_millis(650);
+
 /// Where a chunk comes from.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
 pub enum Source {
@@ -85,6 +90,15 @@
     since: Instant,
 }
 
+/// The questions to one agent about its holdings.
+#[derive(Debug, Default)]
+struct Question {
+    /// Since when one is without an answer.
+    open_since: Option<Instant>,
+    /// When the last one was answered.
+    answered_at: Option<Instant>,
+}
+
 /// Who has a chunk before an agent.
 #[derive(Clone, Debug, Default)]
 struct Before {
@@ -110,6 +124,8 @@
     order: Vec<usize>,
     /// What other agents hold.
     offers: BTreeMap<name::Vm, BTreeSet<usize>>,
+    /// How the questions about their holdings stand.
+    questions: BTreeMap<name::Vm, Question>,
     avoided: BTreeMap<Source, Instant>,
     begun_at: Instant,
     progress_at: Instant,
@@ -129,6 +145,7 @@
             far: Vec::new(),
             order: Vec::new(),
             offers: BTreeMap::new(),
+            questions: BTreeMap::new(),
             avoided: BTreeMap::new(),
             begun_at: now,
             progress_at: now,
@@ -143,15 +160,24 @@
         let own = self
             .before
             .iter()
-            .filter(|before| self.answering(&before.local) == 0);
+            .filter(|before| self.answering(&before.local, now) == 0);
         let owners = own.flat_map(|before| &before.remote);
         let is_stuck = now.since(self.progress_at) >= STUCK;
         let far = self.far.iter().filter(|_| is_stuck);
         self.near.iter().chain(owners).chain(far).cloned().collect()
     }
 
+    /// Another agent is asked what it holds.
+    pub fn ask(&mut self, vm: &name::Vm, now: Instant) {
+        let question = self.questions.entry(vm.clone()).or_default();
+        question.open_since = Some(now);
+    }
+
     /// Sets what another agent holds, or that it is not known.
-    pub fn offer(&mut self, vm: &name::Vm, held: Option<BTreeSet<usize>>) {
+    pub fn offer(&mut self, vm: &name::Vm, held: Option<BTreeSet<usize>>, now: Instant) {
+        let question = self.questions.entry(vm.clone()).or_default();
+        question.open_since = None;
+        question.answered_at = held.is_some().then_some(now).or(question.answered_at);
         match held {
             Some(held) => drop(self.offers.insert(vm.clone(), held)),
             None => drop(self.offers.remove(vm)),
@@ -319,12 +345,12 @@
         let turn = |place: usize| TURN * u32::try_from(place).unwrap_or(u32::MAX);
         let local = offered(&mut before.local.iter().chain(&self.near));
         let remote = || {
-            let may_cross = idle >= turn(self.answering(&before.local));
+            let may_cross = idle >= turn(self.answering(&before.local, now));
             let found = offered(&mut before.remote.iter().chain(&self.far));
             found.filter(|_| may_cross)
         };
         let origin = || {
-            let place = self.answering(&before.local) + self.answering(&before.remote);
+            let place = self.answering(&before.local, now) + self.answering(&before.remote, now);
             let is_due = now.since(self.begun_at) >= FIRST_OFFERS && idle >= turn(place);
             (is_due && has_room(&Source::Origin, PER_ORIGIN)).then_some(Source::Origin)
         };
@@ -332,12 +358,24 @@
     }
 
     /// How many of the agents answer. Nobody waits for the others.
-    fn answering(&self, vms: &[name::Vm]) -> usize {
+    fn answering(&self, vms: &[name::Vm], now: Instant) -> usize {
         vms.iter()
-            .filter(|vm| self.offers.contains_key(*vm))
+            .filter(|vm| self.offers.contains_key(*vm) && !self.stands_still(vm, now))
             .count()
     }
 
+    /// Whether an agent leaves a question open while most of the others answer theirs.
+    fn stands_still(&self, vm: &name::Vm, now: Instant) -> bool {
+        let open_since = self.questions.get(vm).and_then(|known| known.open_since);
+        let Some(since) = open_since.filter(|since| now.since(*since) >= STANDSTILL) else {
+            return false;
+        };
+        let others = self.questions.iter().filter(|(other, _)| *other != vm);
+        let (answered, silent): (Vec<_>, Vec<_>) =
+            others.partition(|(_, known)| known.answered_at.is_some_and(|at| at > since));
+        answered.len() > silent.len()
+    }
+
     /// Who has a chunk before this agent: agents of the region that come before it, and the owners
     /// in regions that come before its own. Nobody comes before the one that draws the chunk from
     /// the origin.
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -1,6 +1,6 @@
 //! The relay's own answers. Each says whether the request ran.
 
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -13,7 +13,10 @@
 pub enum Failure {
     /// No state is known since the relay started.
     #[display("the state is not known yet")]
-    Unknown,
+    Unknown {
+        /// When to come again.
+        retry: Duration,
+    },
     /// The state is too old to act on.
     #[display("the state is too old")]
     Stale,
@@ -49,11 +52,19 @@
 }
 
 impl Failure {
+    /// [`Self::Unknown`], with a time to come again drawn so that not all come at once.
+    pub fn unknown() -> Self {
+        let retry = rand::random_range(UNKNOWN_RETRY);
+        Self::Unknown { retry }
+    }
+
     /// The status that says so. 503 promises that the request did not run; 502 and 504 promise
     /// nothing.
     pub fn status(&self) -> StatusCode {
         match self {
-            Self::Unknown | Self::Stale | Self::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unknown { .. } | Self::Stale | Self::Refused { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
@@ -64,9 +75,8 @@
 
     fn retry(&self) -> Option<Duration> {
         match self {
-            Self::Unknown => Some(UNKNOWN_RETRY),
+            Self::Unknown { retry } | Self::Refused { retry, .. } => Some(*retry),
             Self::Stale => Some(STALE_RETRY),
-            Self::Refused { retry, .. } => Some(*retry),
             _ => None,
         }
     }
@@ -95,5 +105,6 @@
 /// leader.
 const STALE_RETRY: Duration = Duration::from_millis(1_000);
 /// When to come again to an entry that has just started. Where everything lost power, control
-/// finds a leader within about 1 s and engines load their weights within another.
-const UNKNOWN_RETRY: Duration = Duration::from_millis(2_000);
+/// finds a leader within about 1 s, and engines load their weights within another.
+const UNKNOWN_RETRY: RangeInclusive<Duration> =
+    Duration::from_millis(1_500)..=Duration::from_millis(2_500);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -145,7 +145,7 @@
 ) -> Result<Resolved, Failure> {
     let feed = site.feed();
     let view = &feed.view;
-    let routing = view.routing.ok_or(Failure::Unknown)?;
+    let routing = view.routing.ok_or_else(Failure::unknown)?;
     let now = site.now();
     let age_ms = feed
         .bound
@@ -309,6 +309,7 @@
         let turn = site.begin(&feed.view, choice, self.outgoing.ask.prompt_tokens);
         self.tried.push(choice.instance.id.clone());
         let sent_at = site.now();
+        let is_cold = site.place(|placer| placer.is_cold(&choice.instance, sent_at));
         let begun = {
             let begin = begin(&site, &self.outgoing, choice, turn, None);
             tokio::pin!(begin);
@@ -323,7 +324,7 @@
             }
         };
         if let (Ok(_), Some(pass)) = (&begun, &self.pass) {
-            pass.begin(site.now().since(sent_at));
+            pass.begin(site.now().since(sent_at), is_cold);
         }
         self.note(choice, &begun);
         begun
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -3,7 +3,10 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use domain::{clock::Instant, name};
-use policy::{admission::Admission, placement::Refusal};
+use policy::{
+    admission::{Admission, Beginning},
+    placement::Refusal,
+};
 use tokio::{sync::Notify, time};
 
 use crate::site::Site;
@@ -121,11 +124,16 @@
 }
 
 impl Pass {
-    /// The answer began so long after the request was sent.
-    pub fn begin(&self, waited: Duration) {
+    /// The answer began so long after the request was sent to an instance that was cold or not.
+    pub fn begin(&self, waited: Duration, is_cold: bool) {
         let now = self.site.now();
+        let beginning = Beginning {
+            waited,
+            target: self.target,
+            is_cold,
+        };
         self.site.gate.with(&self.service, now, |lane| {
-            lane.admission.begin(waited, self.target, now);
+            lane.admission.begin(beginning, now);
         });
     }
 }
--- a/crates/stager/src/bring.rs
+++ b/crates/stager/src/bring.rs
@@ -127,8 +127,16 @@
     pub(crate) roster: Rc<dyn Fn() -> Roster>,
 }
 
-/// News of what agents hold; nothing for those that can't be asked.
-type Offers = Rc<RefCell<Vec<(name::Vm, Option<BTreeSet<usize>>)>>>;
+/// What is heard of an agent's holdings.
+enum Report {
+    /// It is asked.
+    Asked,
+    /// What it holds; nothing if it can't be asked.
+    Told(Option<BTreeSet<usize>>),
+}
+
+/// Reports about agents, with their times.
+type Reports = Rc<RefCell<Vec<(name::Vm, Instant, Report)>>>;
 
 /// The tasks that follow what agents hold. They end with it.
 #[derive(Default)]
@@ -141,18 +149,19 @@
 }
 
 /// Follows what one agent holds of a version.
-async fn follow(peers: Peers, vm: name::Vm, address: SocketAddr, version: Digest, offers: Offers) {
+async fn follow(peers: Peers, address: SocketAddr, version: Digest, report: impl Fn(Report)) {
     let mut known = u64::MAX;
     loop {
+        report(Report::Asked);
         match peers.holdings(address, version, known).await {
             Ok(holdings) => {
                 known = holdings.version;
                 let held = holdings.is_known.then(|| indices(&holdings.bitmap));
-                offers.borrow_mut().push((vm.clone(), held));
+                report(Report::Told(held));
                 time::sleep(WATCH_PAUSE).await;
             }
             Err(_) => {
-                offers.borrow_mut().push((vm.clone(), None));
+                report(Report::Told(None));
                 time::sleep(WATCH_RETRY).await;
             }
         }
@@ -194,7 +203,7 @@
     pub(crate) async fn run(&mut self) -> Result<(), Doubt> {
         self.shelf.open(self.version, self.manifest.digests.clone());
         self.take_staged().await;
-        let offers = Rc::new(RefCell::new(Vec::new()));
+        let reports = Reports::default();
         let mut watches = Watches::default();
         let mut running = FuturesUnordered::new();
         let mut spoilt = 0;
@@ -203,9 +212,12 @@
             self.spread
                 .set_members(roster.iter().map(|(member, _)| member.clone()));
             let now = (self.now)();
-            self.watch(&mut watches, &roster, &offers);
-            for (vm, held) in offers.borrow_mut().drain(..) {
-                self.spread.offer(&vm, held);
+            self.watch(&mut watches, &roster, &reports);
+            for (vm, at, report) in reports.borrow_mut().drain(..) {
+                match report {
+                    Report::Asked => self.spread.ask(&vm, at),
+                    Report::Told(held) => self.spread.offer(&vm, held, at),
+                }
             }
             for fetch in self.spread.poll(now) {
                 running.push(self.fetch(fetch, &roster));
@@ -271,7 +283,7 @@
     }
 
     /// Follows what the agents that matter hold.
-    fn watch(&self, watches: &mut Watches, roster: &Roster, offers: &Offers) {
+    fn watch(&self, watches: &mut Watches, roster: &Roster, reports: &Reports) {
         let wanted = self.spread.watched((self.now)());
         watches.0.retain(|vm, task| {
             let is_wanted = wanted.contains(vm);
@@ -285,9 +297,10 @@
             .filter(|(member, _)| wanted.contains(&member.vm))
         {
             watches.0.entry(member.vm.clone()).or_insert_with(|| {
-                let (peers, offers) = (self.peers.clone(), offers.clone());
-                let (vm, address, version) = (member.vm.clone(), *address, self.version);
-                spawn_local(async move { follow(peers, vm, address, version, offers).await })
+                let (vm, reports, now) = (member.vm.clone(), reports.clone(), self.now.clone());
+                let report = move |news| reports.borrow_mut().push((vm.clone(), now(), news));
+                let (peers, address, version) = (self.peers.clone(), *address, self.version);
+                spawn_local(follow(peers, address, version, report))
             });
         }
     }
