Let requests that can still be in time go before callers that come back

Ruled out: the engines (busy 93 in 100 of their time), lost requests.

Change: policy::patience tells from the time that a caller has left how long it has waited; policy::admission leaves 30 % of the limit to timely requests while such find no room, treats one late request in four like the others, and late ones don't wait in the queue.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -5,7 +5,9 @@
 //! begin in time nothing is refused; when many begin late at once, or some for longer, the limit
 //! falls below what runs, and grows slowly again while it is used up and answers begin in time.
 //! This answers loads above the capacity that is there: as many requests as can be answered in
-//! time are let in, and the rest hears so at once. See `docs/DECISIONS.md`, "Admission".
+//! time are let in, and the rest hears so at once. Those that come back after that are late whatever
+//! happens, so the ones that can still be answered in time go before them. See
+//! `docs/DECISIONS.md`, "Admission".
 
 use std::time::Duration;
 
@@ -38,6 +40,26 @@
 /// By what it grows while it is not used up.
 const RELEASE: f64 = 1.05;
 
+/// The part of the limit that requests which are late already share with the others, in
+/// hundredths. The rest is left to those that can still be answered in time.
+const LATE_ROOM_PERCENT: u32 = 70;
+/// One in so many late requests is treated like the others, so that no caller starves whose time
+/// is shorter than others'.
+const LATE_TURN: u32 = 4;
+
+/// For how long room is left after a request that could be answered in time found none. Without
+/// such requests it would stay unused, as after an outage, when all who come are late.
+const CROWDED: Duration = Duration::from_millis(500);
+
+/// Whether a request can still be answered in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Chance {
+    /// It can.
+    Timely,
+    /// Its caller has waited longer than was aimed at, as after a refusal.
+    Late,
+}
+
 /// How an answer began.
 #[derive(Clone, Copy, Debug)]
 pub struct Beginning {
@@ -63,6 +85,10 @@
     lateness: f64,
     was_full: bool,
     adjusted_at: Instant,
+    /// Late requests that found too little room, up to [`LATE_TURN`].
+    passed_over: u32,
+    /// When a request that could be answered in time last found no room.
+    crowded_at: Option<Instant>,
 }
 
 impl Admission {
@@ -77,6 +103,8 @@
             lateness: 0.0,
             was_full: false,
             adjusted_at: now,
+            passed_over: 0,
+            crowded_at: None,
         }
     }
 
@@ -91,17 +119,38 @@
     }
 
     /// Lets a request run if there is room, and says whether there was.
-    pub fn admit(&mut self, slots: f64, now: Instant) -> bool {
+    pub fn admit(&mut self, slots: f64, chance: Chance, now: Instant) -> bool {
         self.slots = slots.max(1.0);
         self.adjust(now);
-        let has_room = self.running < self.limit(slots);
+        let limit = self.limit(slots);
+        let has_room = self.running < self.room(limit, chance, now);
+        if !has_room && chance == Chance::Timely {
+            self.crowded_at = Some(now);
+        }
         match has_room {
             true => self.running += 1,
-            false => self.was_full = true,
+            false => self.was_full |= self.running >= limit,
         }
         has_room
     }
 
+    /// How many requests may run beside one with this chance.
+    fn room(&mut self, limit: u32, chance: Chance, now: Instant) -> u32 {
+        let shared = limit * LATE_ROOM_PERCENT / 100;
+        let is_crowded = self.crowded_at.is_some_and(|at| now.since(at) < CROWDED);
+        match chance {
+            Chance::Timely => limit,
+            Chance::Late if !is_crowded || self.running < shared => limit,
+            Chance::Late => {
+                self.passed_over = (self.passed_over + 1) % LATE_TURN;
+                match self.passed_over {
+                    0 => limit,
+                    _ => shared,
+                }
+            }
+        }
+    }
+
     /// A request is over.
     pub fn end(&mut self) {
         self.running = self.running.saturating_sub(1);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod orders;
 pub mod owner;
 pub mod pacer;
+pub mod patience;
 pub mod placement;
 pub mod registry;
 pub mod replica;
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -2,7 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use domain::{
     clock::Instant,
@@ -13,8 +17,9 @@
     vm::{Announcement, Lifecycle, Status, Upstream, Vm},
 };
 use policy::{
-    admission::{Admission, Beginning},
+    admission::{Admission, Beginning, Chance},
     bucket::Bucket,
+    patience::Patience,
     placement::{Grace, Need, Placer, Refusal},
     shares::Turns,
     view::View,
@@ -457,7 +462,7 @@
             let over = ends.extract_if(.., |end| *end <= now).count();
             if let Some(gate) = gate.as_deref_mut() {
                 (0..over).for_each(|_| gate.end());
-                if !gate.admit(f64::from(self.slots), now) {
+                if !gate.admit(f64::from(self.slots), Chance::Timely, now) {
                     refused += 1;
                     continue;
                 }
@@ -527,7 +532,9 @@
                 gate.begin(Beginning { is_cold, ..late }, now);
             }
         }
-        let admitted = (0..100).filter(|_| gate.admit(10.0, now)).count();
+        let admitted = (0..100)
+            .filter(|_| gate.admit(10.0, Chance::Timely, now))
+            .count();
         assert!(
             expected.contains(&admitted),
             "{admitted} of 100 admitted, cold: {is_cold}"
@@ -556,6 +563,8 @@
     const AIMED: Duration = Duration::from_millis(400);
     /// How long an answer goes on after it has begun.
     const GOES_ON: Duration = Duration::from_millis(500);
+    /// How long after a refusal a caller comes back.
+    const RETURNS: Duration = Duration::from_millis(1_200);
     /// What an engine takes for a prompt, in seconds, from the shortest to the longest.
     const READS_S: (f64, f64) = (0.02, 0.2);
 
@@ -580,44 +589,107 @@
         }
     }
 
-    /// Plays so much of the capacity for half a minute, and returns how many were answered in time,
-    /// late and not at all.
+    /// Plays so much of the capacity for half a minute. Says how many were answered in time, late and
+    /// not at all.
     fn play(&mut self, percent: u32, seed: u64) -> (u32, u32, u32) {
+        self.play_with(percent, seed, None)
+    }
+
+    /// The same, where a caller that is refused comes back once if it is given a chance then.
+    fn play_with(&mut self, percent: u32, seed: u64, again: Option<Chance>) -> (u32, u32, u32) {
         let mut rng = StdRng::seed_from_u64(seed);
         let (shortest, longest) = Self::READS_S;
         let engines = self.engines.len();
         let per_s = engines as f64 * 2.0 / (shortest + longest) * f64::from(percent) / 100.0;
-        let part = engines as f64 * 16.0 / self.gates.len() as f64;
         let (mut timely, mut late, mut refused) = (0, 0, 0);
-        let mut now = LATER;
-        while now.since(LATER) < Duration::from_secs(30) {
-            let gap = -f64::ln(rng.random_range(f64::MIN_POSITIVE..1.0)) / per_s;
-            now = now + Duration::from_secs_f64(gap);
-            self.pass_time(now);
-            let entry = rng.random_range(0..self.gates.len());
-            if !self.gates[entry].admit(part, now) {
-                refused += 1;
-                continue;
+        let mut returns = VecDeque::new();
+        let mut fresh_at = LATER;
+        while fresh_at.since(LATER) < Duration::from_secs(30) {
+            let returned = returns.pop_front_if(|at| *at <= fresh_at);
+            let now = returned.unwrap_or(fresh_at);
+            if returned.is_none() {
+                let gap = -f64::ln(rng.random_range(f64::MIN_POSITIVE..1.0)) / per_s;
+                fresh_at = fresh_at + Duration::from_secs_f64(gap);
             }
-            let pair = [(); 2].map(|()| rng.random_range(0..engines));
-            let engine = pair.into_iter().min_by_key(|n| self.engines[*n]).unwrap();
-            let reads = Duration::from_secs_f64(rng.random_range(shortest..longest));
-            let begins_at = self.engines[engine].max(now) + reads;
-            self.engines[engine] = begins_at;
-            let waited = begins_at.since(now);
-            self.sent.push(Sent {
-                entry,
-                begins_at,
-                waited,
-                is_reported: false,
-            });
-            match waited <= Self::AIMED {
-                true => timely += 1,
-                false => late += 1,
+            self.pass_time(now);
+            let chance = again.filter(|_| returned.is_some());
+            match (
+                self.send(chance.unwrap_or(Chance::Timely), &mut rng, now),
+                returned,
+            ) {
+                (Some(waited), None) if waited <= Self::AIMED => timely += 1,
+                (Some(_), _) => late += 1,
+                (None, None) if again.is_some() => returns.push_back(now + Self::RETURNS),
+                (None, _) => refused += 1,
             }
         }
         (timely, late, refused)
     }
+
+    /// Sends a request through one of the entries, and says how long its answer takes to begin.
+    fn send(&mut self, chance: Chance, rng: &mut StdRng, now: Instant) -> Option<Duration> {
+        let (shortest, longest) = Self::READS_S;
+        let engines = self.engines.len();
+        let part = engines as f64 * 16.0 / self.gates.len() as f64;
+        let entry = rng.random_range(0..self.gates.len());
+        if !self.gates[entry].admit(part, chance, now) {
+            return None;
+        }
+        let pair = [(); 2].map(|()| rng.random_range(0..engines));
+        let engine = pair.into_iter().min_by_key(|n| self.engines[*n]).unwrap();
+        let reads = Duration::from_secs_f64(rng.random_range(shortest..longest));
+        let begins_at = self.engines[engine].max(now) + reads;
+        self.engines[engine] = begins_at;
+        let waited = begins_at.since(now);
+        self.sent.push(Sent {
+            entry,
+            begins_at,
+            waited,
+            is_reported: false,
+        });
+        Some(waited)
+    }
+}
+
+/// Callers that were refused and come back are late in any case. Where they go before others,
+/// these are refused, come back in their turn, and half of the capacity goes to late answers.
+#[test]
+fn callers_that_come_back_do_not_crowd_out_those_in_time() {
+    for (percent, seed) in [(115, 0), (130, 1), (150, 2)] {
+        let play = |again| Shared::new(7, 9).play_with(percent, seed, Some(again));
+        let (timely, late, refused) = play(Chance::Late);
+        let (plain, plain_late, plain_refused) = play(Chance::Timely);
+        let told = format!(
+            "{percent} %: {timely} in time, {late} late, {refused} refused; \
+             without: {plain}, {plain_late}, {plain_refused}"
+        );
+        println!("{told}");
+        assert!(timely > plain, "{told}");
+        // Late ones are still served, by a fifth of the places at least.
+        assert!(late * 8 >= plain_late, "{told}");
+    }
+}
+
+/// A caller that has less time left than others of its route had of late has waited.
+#[test]
+fn how_long_callers_have_waited() {
+    let second = Duration::from_secs(1);
+    let mut patience = Patience::new(LATER);
+    // When a caller asks, what it has left, how long it has waited; all in seconds.
+    let cases = [
+        (0, 6, 0),
+        (1, 4, 2),
+        (2, 6, 0),
+        (12, 3, 3),
+        // The longest time was 6 s more than a window ago.
+        (25, 3, 0),
+        (26, 4, 0),
+        (60, 1, 0),
+    ];
+    for (at, left, waited) in cases {
+        let observed = patience.observe(second * left, LATER + second * at);
+        assert_eq!(observed, second * waited, "at {at} s");
+    }
 }
 
 /// More than the engines bear, for long, as after a zone is out: at most a fifth of those who ask is
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -8,6 +8,14 @@
 
 use crate::body::{self, Body};
 
+/// When to come again to an entry whose state is too old: the time in which control finds a new
+/// leader.
+const STALE_RETRY: Duration = Duration::from_millis(1_000);
+/// When to come again to an entry that has just started. Where everything lost power, control
+/// finds a leader within about 1 s, and engines load their weights within another.
+const UNKNOWN_RETRY: RangeInclusive<Duration> =
+    Duration::from_millis(1_500)..=Duration::from_millis(2_500);
+
 /// Why a request gets no instance's answer.
 #[derive(Clone, Debug, PartialEq, Eq, Display)]
 pub enum Failure {
@@ -100,11 +108,3 @@
         response
     }
 }
-
-/// When to come again to an entry whose state is too old: the time in which control finds a new
-/// leader.
-const STALE_RETRY: Duration = Duration::from_millis(1_000);
-/// When to come again to an entry that has just started. Where everything lost power, control
-/// finds a leader within about 1 s, and engines load their weights within another.
-const UNKNOWN_RETRY: RangeInclusive<Duration> =
-    Duration::from_millis(1_500)..=Duration::from_millis(2_500);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -8,7 +8,10 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use peer::uplink::Feed;
-use policy::placement::{Choice, Need, Refusal};
+use policy::{
+    admission::Chance,
+    placement::{Choice, Need, Refusal},
+};
 use tokio::time;
 
 use crate::{
@@ -35,6 +38,8 @@
     pub(crate) service: name::Service,
     pub(crate) caller_regions: Vec<name::Region>,
     pub(crate) outgoing: Outgoing,
+    /// Whether it can still be answered in time.
+    pub(crate) chance: Chance,
     pub(crate) trace: Trace,
     pub(crate) tried: Vec<name::Instance>,
     /// How often it was sent.
@@ -100,6 +105,7 @@
                 service: resolved.service,
                 caller_regions: resolved.regions,
                 outgoing: resolved.outgoing,
+                chance: resolved.chance,
                 trace,
                 tried: Vec::new(),
                 sent: 0,
@@ -132,6 +138,7 @@
     service: name::Service,
     regions: Vec<name::Region>,
     outgoing: Outgoing,
+    chance: Chance,
 }
 
 /// Decides by the state, at one moment, whose request it is and where it may go.
@@ -176,6 +183,12 @@
     })?;
     let timeout = Duration::from_millis(route.timeout_ms.into());
     let patience = ask.patience.unwrap_or(timeout);
+    trace.waited = site.has_waited(route, patience);
+    // A stream that is to go on has begun already.
+    let chance = match ask.last_event {
+        None if trace.waited > Duration::from_millis(route.target_ms.into()) => Chance::Late,
+        _ => Chance::Timely,
+    };
     let mut headers = head.headers;
     attempt::strip_connection(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
@@ -196,6 +209,7 @@
             deadline: received_at + patience.min(timeout),
             ask,
         },
+        chance,
     })
 }
 
@@ -271,7 +285,7 @@
             site.place(|placer| placer.slots(&feed.view, &self.need(None), now))
         };
         let target = Duration::from_millis(self.route.target_ms.into());
-        let pass = gate::enter(&site, &self.service, target, slots).await?;
+        let pass = gate::enter(&site, &self.service, target, self.chance, slots).await?;
         self.pass = Some(pass);
         Ok(())
     }
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -4,7 +4,7 @@
 
 use domain::{clock::Instant, name};
 use policy::{
-    admission::{Admission, Beginning},
+    admission::{Admission, Beginning, Chance},
     placement::Refusal,
 };
 use tokio::{sync::Notify, time};
@@ -53,8 +53,9 @@
     target: Duration,
 }
 
-/// Waits for leave to run, at most a part of the time that is aimed at. `slots` tells the entry's
-/// part of the slots, or nothing while no instance may serve the request.
+/// Waits for leave to run, at most a part of the time that is aimed at; a request that is late
+/// already does not wait. `slots` tells the entry's part of the slots, or nothing while no
+/// instance may serve the request.
 ///
 /// # Errors
 ///
@@ -63,6 +64,7 @@
     site: &Rc<Site>,
     service: &name::Service,
     target: Duration,
+    chance: Chance,
     slots: impl Fn() -> Option<f64>,
 ) -> Result<Pass, Refusal> {
     let begun = site.now();
@@ -78,13 +80,13 @@
         let slots = slots().ok_or(Refusal::Nobody)?;
         let is_turn = site.gate.with(service, now, |lane| {
             // Nobody overtakes those who wait.
-            (lane.waiting == 0 || queued.is_some()) && lane.admission.admit(slots, now)
+            (lane.waiting == 0 || queued.is_some()) && lane.admission.admit(slots, chance, now)
         });
         if is_turn {
             return Ok(pass());
         }
         let left = limit.saturating_sub(now.since(begun));
-        if left.is_zero() {
+        if left.is_zero() || chance == Chance::Late {
             return Err(Refusal::Busy);
         }
         if queued.is_none() {
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -69,6 +69,8 @@
     pub customer: Option<name::Customer>,
     /// The routing version and the age of the state by which it was decided, in milliseconds.
     pub basis: Option<(u64, u64)>,
+    /// How long the caller had waited already when it asked: after a refusal it comes back.
+    pub waited: Duration,
     /// Each instance that was tried, with what came of it.
     pub steps: Vec<String>,
     /// When the first byte of the answer came.
@@ -87,6 +89,7 @@
             route: None,
             customer: None,
             basis: None,
+            waited: Duration::ZERO,
             steps: Vec::new(),
             first_at: None,
             end: None,
@@ -119,6 +122,7 @@
             "route" => self.route.as_ref().map(ToString::to_string),
             "customer" => self.customer.as_ref().map(ToString::to_string),
             "routing" => routing, "age_ms" => age_ms,
+            "waited_ms" => self.waited.as_millis() as u64,
             "steps" => self.steps.join("; "),
             "first_ms" => first_ms, "took_ms" => took_ms,
             "status" => status, "omitted" => omitted,
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -17,6 +17,7 @@
 use opentelemetry::metrics::Meter;
 use peer::uplink::{Client, Feed};
 use policy::{
+    patience::Patience,
     placement::{Choice, Placer},
     retry::Budget,
     shares::Turns,
@@ -98,6 +99,7 @@
     placer: RefCell<Placer>,
     budgets: RefCell<HashMap<name::Service, Budget>>,
     turns: RefCell<HashMap<Arc<str>, Turns>>,
+    patiences: RefCell<HashMap<name::Route, Patience>>,
     running: Cell<u32>,
     is_leaving: Cell<bool>,
 }
@@ -117,6 +119,7 @@
             placer: RefCell::new(given.placer),
             budgets: RefCell::default(),
             turns: RefCell::default(),
+            patiences: RefCell::default(),
             running: Cell::default(),
             is_leaving: Cell::default(),
         })
@@ -191,6 +194,16 @@
         }
     }
 
+    /// How long a caller of a route with so much time left has waited already.
+    pub fn has_waited(&self, route: &Route, left: Duration) -> Duration {
+        let now = self.now();
+        let mut patiences = self.patiences.borrow_mut();
+        let known = patiences.entry(route.name.clone());
+        known
+            .or_insert_with(|| Patience::new(now))
+            .observe(left, now)
+    }
+
     /// Keeps a connection for the next request. What may not run twice never uses an idle one, so
     /// its connections are not kept either.
     pub fn keep(
@@ -265,6 +278,9 @@
         loop {
             time::sleep(SWEEP_PERIOD).await;
             let (feed, now) = (self.feed(), self.now());
+            self.patiences
+                .borrow_mut()
+                .retain(|_, patience| !patience.is_idle(now));
             self.pool
                 .sweep(now, |id| feed.view.instances.contains_key(id));
             self.meters.show(self.running(), feed.bound.age(now));
--- a/crates/relay/tests/whole/gate.rs
+++ b/crates/relay/tests/whole/gate.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::common::{Relay, run};
-use policy::placement::Refusal;
+use policy::{admission::Chance, placement::Refusal};
 use relay::gate;
 
 const TARGET: Duration = Duration::from_millis(400);
@@ -16,7 +16,8 @@
     run(async {
         let relay = Relay::start(&[]);
         let service = "s".into();
-        let enter = async || gate::enter(&relay.site, &service, TARGET, || Some(2.0)).await;
+        let enter =
+            async || gate::enter(&relay.site, &service, TARGET, Chance::Timely, || Some(2.0)).await;
         let mut passes = Vec::new();
         for _ in 0..8 {
             passes.push(enter().await.ok().unwrap());
@@ -43,7 +44,9 @@
     run(async {
         let relay = Relay::start(&[]);
         let service = "s".into();
-        let enter = async |slots| gate::enter(&relay.site, &service, TARGET, || slots).await;
+        let enter = async |slots| {
+            gate::enter(&relay.site, &service, TARGET, Chance::Timely, || slots).await
+        };
         let held = enter(Some(0.1)).await;
         assert!(held.is_ok());
         assert!(matches!(enter(Some(0.1)).await, Err(Refusal::Busy)));
