--- a/crates/policy/src/spread.rs
+++ b/crates/policy/src/spread.rs
@@ -25,7 +25,7 @@
 /// How many fetches run at first, and at most. What is on its way delays live requests.
 const WINDOW: (usize, usize) = (4, 6);
 /// How many run while other agents need the chunks sooner. With one, agents would get too little
-/// to pass on; with three, those whose turn is first would have the version no sooner than others.
+/// to pass on; with three, they would leave less to those whose turn is first.
 const UNHURRIED_WINDOW: usize = 2;
 /// A fetch that takes longer fills the link: fewer run then.
 const SLOW_FETCH: Duration = Duration::from_millis(500);
