Heed what instances say of themselves, and believe only what can be theirs

An instance's own 408, 429 or 503 was passed on, though only it knows whether the request ran. - A body without end was collected whole: ten of them took 337 MB until their deadline.

Ruled out: a hint to control that an instance leaves (a faulty one would take itself out everywhere; the others learn it at one request each).

Change: `policy::notice` holds what instances say, apart from the breaker, and placement, repeats and resumes follow it; counter and log lines. `attempt::judge` believes an answer only if it names its request, and turns a promise without proof into 502. Bounds on heads, bodies, events and on all unfinished answers; a stream without a pause ends at its deadline.

Shown failing first: `stale::an_earlier_refusal_on_a_kept_connection_is_no_answer` (503 for a request that ran), `stale::a_status_that_promises_too_much_is_not_ passed_on` (408), `endless::answers_without_end_cost_bounded_memory_and_time` (336,887,808 bytes; 133,300,224 with a limit but a list of parts). Two rows of `one_instance_fails_and_the_other_does_not` had a refusal without an id; they have one now, and new rows say what one without is worth. `gate::what_nobody_ may_serve_does_not_wait_for_a_turn` checks one more reason than before.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -292,7 +292,7 @@
             sse::Error::WrongAttempt { .. } => Dropped::Attempt,
             sse::Error::WrongVersion { .. } => Dropped::Version,
             sse::Error::Gap { .. } => Dropped::Gap,
-            sse::Error::TooLong | sse::Error::Malformed => Dropped::Truncated,
+            sse::Error::TooLong { .. } | sse::Error::Malformed => Dropped::Truncated,
         };
         self.shared.meters.dropped(cause);
         let name = source.answer.placement.name();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ledger;
 pub mod lifecycle;
 pub mod membership;
+pub mod notice;
 pub mod orders;
 pub mod owner;
 pub mod pacer;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -2,7 +2,7 @@
 //!
 //! It handles loads up to the total capacity of the eligible instances: the least loaded one is
 //! chosen, instances in the same zone are preferred unless they are much busier, failing instances
-//! are avoided and cold ones get fewer requests. An entry doesn't see what other entries send to
+//! are avoided, cold ones get fewer requests and those that ask for none get none. An entry doesn't see what other entries send to
 //! the same instances, so it multiplies its own in-flight requests by the number of entries. See
 //! `docs/PLATFORM.md`, "Placing".
 
@@ -20,6 +20,7 @@
 use crate::{
     breaker::{self, State},
     bucket::Bucket,
+    notice::{self, Availability, Notice},
     view::View,
 };
 
@@ -39,6 +40,12 @@
 /// Retry delay when no instance is eligible: about as long as an engine that switches versions, or
 /// an instance that is being replaced, is unavailable.
 const NO_INSTANCE_RETRY: Duration = Duration::from_millis(2_000);
+/// The time over which callers come back after a pause that every instance asked for, so that they
+/// don't all meet the first instance that is free again.
+const PAUSE_SPREAD: Duration = Duration::from_millis(500);
+/// Score penalty of an instance that leaves, as a multiple of its slots: above any other score, so
+/// that it is used only where nothing else can serve the request.
+const LEAVING_PENALTY: f64 = 1_000.0;
 
 /// Grace periods during which the old version of a model may be used after a newer target version
 /// was set.
@@ -83,14 +90,27 @@
     /// All eligible instances are at their limit.
     #[display("every instance is busy")]
     Busy,
+    /// All eligible instances asked for no requests, and the first one takes some again then.
+    #[display("every instance asks for a pause of {} ms or more", _0.as_millis())]
+    Paused(Duration),
 }
 
 impl Error {
+    /// What holds after one more instance was found that is paused.
+    fn or_paused(self, left: Duration) -> Self {
+        match self {
+            Self::NoInstance => Self::Paused(left),
+            Self::Paused(earlier) => Self::Paused(earlier.min(left)),
+            Self::Busy => Self::Busy,
+        }
+    }
+
     /// How long the caller should wait before it retries.
     pub fn retry_after(self) -> Duration {
         match self {
             Self::NoInstance => NO_INSTANCE_RETRY,
             Self::Busy => BUSY_RETRY,
+            Self::Paused(left) => left,
         }
     }
 }
@@ -130,6 +150,8 @@
     started_at: Instant,
     loads: HashMap<name::Instance, Load>,
     breakers: breaker::Table<name::Instance>,
+    /// What the instances said of themselves.
+    notices: notice::Table,
     /// The target versions of each model, oldest first.
     targets: HashMap<name::Artifact, Vec<Target>>,
     /// Zones that are back in service, with the time until which their instances count as cold.
@@ -158,6 +180,7 @@
             started_at: now,
             loads: HashMap::new(),
             breakers: breaker::Table::new(),
+            notices: notice::Table::new(Duration::ZERO),
             targets: HashMap::new(),
             cold_until: HashMap::new(),
             zones_out: Vec::new(),
@@ -167,6 +190,14 @@
         }
     }
 
+    /// Uses instances that say that they leave for so long after their first notice, where nothing
+    /// else can serve a request. Without it they are not used again.
+    #[must_use]
+    pub fn with_drain(mut self, drain: Duration) -> Self {
+        self.notices = notice::Table::new(drain);
+        self
+    }
+
     /// Updates from a new view of the replicated state.
     pub fn observe(&mut self, view: &View, now: Instant) {
         self.observe_targets(view, now);
@@ -184,6 +215,8 @@
         self.loads
             .retain(|id, load| load.in_flight > 0 || view.instances.contains_key(id));
         self.breakers.retain(|id| view.instances.contains_key(id));
+        self.notices
+            .retain(|id| view.instances.contains_key(id), now);
     }
 
     /// The number of entries that share the instances, this one included.
@@ -215,32 +248,89 @@
             else {
                 continue;
             };
+            let penalty = match self.notices.availability(instance, now) {
+                Availability::Gone => continue,
+                Availability::Paused(left) => {
+                    error = error.or_paused(left);
+                    continue;
+                }
+                Availability::Leaving => LEAVING_PENALTY,
+                Availability::Available => 0.0,
+            };
             error = Error::Busy;
             let Some(score) = self.score(&service, instance, now) else {
                 continue;
             };
+            let score = score + penalty;
             if best.as_ref().is_none_or(|(lowest, _)| score < *lowest) {
                 let instance = instance.clone();
                 best = Some((score, Choice { instance, version }));
             }
         }
-        best.map(|(_, choice)| choice).ok_or(error)
+        match best {
+            Some((_, choice)) => Ok(choice),
+            None => Err(self.spread(error)),
+        }
     }
 
-    /// Returns this entry's share of the slots of all eligible instances, or `None` if there is no
-    /// eligible instance. Suspected instances count with zero slots.
-    pub fn slots(&self, view: &View, requirements: &Requirements<'_>, now: Instant) -> Option<f64> {
-        let service = view.services.get(requirements.service)?;
-        let eligible = view.instances.values().filter(|instance| {
-            self.eligible_version(view, service, instance, requirements, now)
-                .is_some()
-        });
-        let slots = eligible.map(|instance| match self.is_suspected(instance, now) {
-            true => 0,
-            false => instance.slots,
-        });
-        let slots: u32 = slots.reduce(|sum, slots| sum + slots)?;
-        Some(f64::from(slots) / f64::from(self.entries))
+    /// Returns this entry's share of the slots of all eligible instances. Suspected instances and
+    /// those that leave count with zero slots.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if no instance may serve the request, however long it waits.
+    pub fn slots(
+        &mut self,
+        view: &View,
+        requirements: &Requirements<'_>,
+        now: Instant,
+    ) -> Result<f64, Error> {
+        let service = view
+            .services
+            .get(requirements.service)
+            .ok_or(Error::NoInstance)?;
+        let mut error = Some(Error::NoInstance);
+        let mut slots = 0.0;
+        for instance in view.instances.values() {
+            let version = self.eligible_version(view, service, instance, requirements, now);
+            match self.notices.availability(instance, now) {
+                _ if version.is_none() => {}
+                Availability::Gone => {}
+                Availability::Paused(left) => error = error.map(|error| error.or_paused(left)),
+                Availability::Leaving => error = None,
+                Availability::Available => {
+                    error = None;
+                    if !self.is_suspected(instance, now) {
+                        slots += f64::from(instance.slots);
+                    }
+                }
+            }
+        }
+        match error {
+            Some(error) => Err(self.spread(error)),
+            None => Ok(slots / f64::from(self.entries)),
+        }
+    }
+
+    /// Records what an answer of the instance says of it.
+    pub fn heed(
+        &mut self,
+        instance: &Instance,
+        notice: Notice,
+        now: Instant,
+    ) -> Vec<notice::Change> {
+        self.notices.observe(instance, notice, now)
+    }
+
+    /// Spreads the time at which callers come back after a pause.
+    fn spread(&mut self, error: Error) -> Error {
+        match error {
+            Error::Paused(left) => {
+                let part = self.rng.random_range(0.0..1.0);
+                Error::Paused(left + PAUSE_SPREAD.mul_f64(part))
+            }
+            error => error,
+        }
     }
 
     /// Records that a request is being sent to the chosen instance.
@@ -361,7 +451,7 @@
         let jitter = self.rng.random_range(0.0..0.02);
         let entries = self.entries;
         let load = self.loads.entry(instance.id.clone()).or_default();
-        if load.in_flight >= instance.slots + MAX_WAITING {
+        if load.in_flight >= instance.slots.saturating_add(MAX_WAITING) {
             return None;
         }
         if let (true, Some(cold)) = (is_cold, service.cold) {
--- a/crates/policy/src/sse.rs
+++ b/crates/policy/src/sse.rs
@@ -41,9 +41,12 @@
 /// Why the stream of an attempt is aborted.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum Error {
-    /// An event exceeds [`MAX_EVENT_BYTES`].
-    #[snafu(display("event exceeds {MAX_EVENT_BYTES} bytes"))]
-    TooLong,
+    /// An event is longer than accepted.
+    #[snafu(display("event exceeds {limit} bytes"))]
+    TooLong {
+        /// The longest accepted event, in bytes.
+        limit: usize,
+    },
     /// The data of an event is not a JSON object with the expected fields.
     #[snafu(display("event is not a JSON object with the expected fields"))]
     Malformed,
@@ -70,10 +73,22 @@
 }
 
 /// Splits bytes into events.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Splitter {
     buffer: BytesMut,
     searched: usize,
+    /// The longest accepted event, in bytes.
+    limit: usize,
+}
+
+impl Default for Splitter {
+    fn default() -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            searched: 0,
+            limit: MAX_EVENT_BYTES,
+        }
+    }
 }
 
 impl Splitter {
@@ -82,6 +97,13 @@
         Self::default()
     }
 
+    /// Accepts events of at most `bytes` bytes.
+    #[must_use]
+    pub fn with_limit(mut self, bytes: usize) -> Self {
+        self.limit = bytes;
+        self
+    }
+
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
@@ -96,7 +118,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::TooLong`] if an incomplete event exceeds [`MAX_EVENT_BYTES`].
+    /// [`Error::TooLong`] if an incomplete event exceeds the limit, which is [`MAX_EVENT_BYTES`] by
+    /// default.
     pub fn next_event(&mut self) -> Result<Option<Event>, Error> {
         let begin = self.searched.saturating_sub(3);
         match find_end(&self.buffer[begin..]) {
@@ -105,7 +128,7 @@
                 let raw = self.buffer.split_to(begin + end).freeze();
                 Ok(Some(Event { raw }))
             }
-            None if self.buffer.len() > MAX_EVENT_BYTES => Err(Error::TooLong),
+            None if self.buffer.len() > self.limit => Err(Error::TooLong { limit: self.limit }),
             None => {
                 self.searched = self.buffer.len();
                 Ok(None)
--- a/crates/policy/tests/sse.rs
+++ b/crates/policy/tests/sse.rs
@@ -64,7 +64,12 @@
     splitter.push(&vec![b'x'; MAX_EVENT_BYTES]);
     assert_eq!(splitter.next_event(), Ok(None));
     splitter.push(b"x");
-    assert_eq!(splitter.next_event(), Err(Error::TooLong));
+    assert_eq!(
+        splitter.next_event(),
+        Err(Error::TooLong {
+            limit: MAX_EVENT_BYTES
+        })
+    );
 }
 
 #[test]
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -164,10 +164,25 @@
     };
     let (head, body) = response.into_parts();
     let reply = site.dialect.reply(&head);
+    let id = outgoing.ask.id.as_deref();
+    site.heed(&choice.instance, reply.notice, id);
     judge(outgoing, head, body, reply, connection)
 }
 
-/// Whether the answer belongs to the request, and what it says.
+/// Whether a status promises that the request did not run, and never will.
+fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_EARLY
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Whether the answer belongs to the request, and what it says. A faulty instance may write an
+/// earlier answer once more on a kept connection, where it would be taken for the next one.
 fn judge(
     outgoing: &Outgoing,
     head: response::Parts,
@@ -176,20 +191,24 @@
     connection: Connection,
 ) -> Outcome {
     let is_foreign = reply.id.is_some() && reply.id != outgoing.ask.id;
+    let is_unnamed = reply.id.is_none() && outgoing.ask.id.is_some();
     let is_success = head.status.is_success();
+    let is_refusal = reply.is_not_run && head.status != StatusCode::BAD_REQUEST;
     let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
     match () {
         () if is_foreign => Outcome::Lost("an answer to another request came".to_owned()),
-        () if reply.is_not_run && head.status != StatusCode::BAD_REQUEST => {
-            Outcome::Refused(head.status)
+        // Without an id nobody can say whose answer it is.
+        () if is_unnamed && (is_success || is_refusal || connection.is_reused) => {
+            Outcome::Lost("an answer that names no request came".to_owned())
         }
+        () if is_refusal => Outcome::Refused(head.status),
+        () if is_promise(head.status) => Outcome::Lost(format!(
+            "the instance answered {} without saying that the request did not run",
+            head.status
+        )),
         () if is_success && (!reply.is_sealed || is_encoded) => {
             Outcome::Lost("an answer that is not the instance's came".to_owned())
         }
-        // Without an id nobody can say whose answer it is.
-        () if is_success && reply.id.is_none() && outgoing.ask.id.is_some() => {
-            Outcome::Lost("an answer without the request's id came".to_owned())
-        }
         () => Outcome::Answered(Box::new(Answered {
             head,
             body,
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -24,6 +24,7 @@
     pool,
     site::{Site, Turn},
     stream::{Pump, Reader},
+    whole,
 };
 
 /// Attempts that could not even be sent don't count as attempts, up to this many.
@@ -386,7 +387,7 @@
         match begun {
             Begun::Whole(head, bytes) => {
                 self.trace.end(End::Answered(head.status.as_u16()));
-                whole(&head, bytes)
+                response_of(&head, bytes)
             }
             Begun::Stream(answered, turn, reader, first) => {
                 let mut response = Response::new(body::full(Bytes::new()));
@@ -405,7 +406,7 @@
         let failure = match (last, failure) {
             (Some(Bad::Own(head, bytes)), _) => {
                 self.trace.end(End::Answered(head.status.as_u16()));
-                return whole(&head, bytes);
+                return response_of(&head, bytes);
             }
             (Some(Bad::Unknown(_)), Failure::Late) => Failure::Late,
             (Some(Bad::Unknown(reason)), _) => Failure::Lost { reason },
@@ -472,9 +473,9 @@
         connection,
         ..
     } = *answered;
-    let bytes = match time::timeout(left, body.collect()).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) => return Err(unknown(attempt::describe(&error))),
+    let bytes = match time::timeout(left, whole::read(&site.kept, body)).await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(reason)) => return Err(unknown(reason)),
         Err(_) => return Err(unknown("no whole answer until the deadline".to_owned())),
     };
     let lifetime = pool::lifetime(&head.headers);
@@ -485,7 +486,7 @@
     }
 }
 
-fn whole(head: &response::Parts, bytes: Bytes) -> Response<Body> {
+fn response_of(head: &response::Parts, bytes: Bytes) -> Response<Body> {
     let mut response = Response::new(body::full(bytes));
     *response.status_mut() = head.status;
     *response.headers_mut() = returned(&head.headers);
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -4,6 +4,7 @@
 
 use domain::name;
 use http::{HeaderMap, request, response};
+use policy::notice::Notice;
 
 /// What the head of a request says.
 #[derive(Clone, Debug, Default)]
@@ -48,6 +49,8 @@
     pub is_sealed: bool,
     /// The version of the weights that answer.
     pub version: Option<u64>,
+    /// What the instance says of itself.
+    pub notice: Notice,
 }
 
 /// How heads are written.
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -54,19 +54,19 @@
 }
 
 /// Waits for leave to run, at most a part of the time that is aimed at; a request that is late
-/// already does not wait. `slots` tells the entry's part of the slots, or nothing while no
-/// instance may serve the request.
+/// already does not wait. `slots` tells the entry's part of the slots, or why no instance may serve
+/// the request.
 ///
 /// # Errors
 ///
-/// [`placement::Error::NoInstance`] at once where waiting is vain, [`placement::Error::Busy`] if
-/// too many run and wait.
+/// What `slots` says at once where waiting is vain, [`placement::Error::Busy`] if too many run and
+/// wait.
 pub async fn enter(
     site: &Rc<Site>,
     service: &name::Service,
     target: Duration,
     chance: Timeliness,
-    slots: impl Fn() -> Option<f64>,
+    slots: impl Fn() -> Result<f64, placement::Error>,
 ) -> Result<Pass, placement::Error> {
     let begun = site.now();
     let pass = || Pass {
@@ -78,7 +78,7 @@
     let mut queued: Option<Queued<'_>> = None;
     loop {
         let now = site.now();
-        let slots = slots().ok_or(placement::Error::NoInstance)?;
+        let slots = slots()?;
         let is_turn = site.gate.with(service, now, |lane| {
             // Nobody overtakes those who wait.
             (lane.waiting == 0 || queued.is_some()) && lane.admission.admit(slots, chance, now)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod pool;
 pub mod site;
 mod stream;
+pub mod whole;
--- a/crates/relay/src/meters.rs
+++ b/crates/relay/src/meters.rs
@@ -15,6 +15,7 @@
     first_seconds: Histogram<f64>,
     total_seconds: Histogram<f64>,
     attempts: Counter<u64>,
+    notices: Counter<u64>,
     running: Gauge<u64>,
     age_seconds: Gauge<f64>,
     routes: Labels,
@@ -48,6 +49,10 @@
                 .u64_counter("gypsum_relay_attempts")
                 .with_description("Attempts at instances, by service and outcome")
                 .build(),
+            notices: meter
+                .u64_counter("gypsum_relay_notices")
+                .with_description("Instances that said they leave or want a pause, by service")
+                .build(),
             running: meter
                 .u64_gauge("gypsum_relay_running")
                 .with_description("Requests that are running")
@@ -90,6 +95,12 @@
             .add(1, &[service, KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts an instance that says something new of itself.
+    pub fn noticed(&self, service: &name::Service, kind: &'static str) {
+        let service = KeyValue::new("service", service.to_string());
+        self.notices.add(1, &[service, KeyValue::new("kind", kind)]);
+    }
+
     /// Shows how the relay stands.
     pub fn show(&self, running: u32, age: Option<Duration>) {
         self.running.record(running.into(), &[]);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -20,6 +20,9 @@
 const DEFAULT_IDLE: Duration = Duration::from_millis(1_500);
 /// How much earlier than the instance this end lets go of an idle connection.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// The room for the head of an answer, and for what is read of its body at once, in bytes. Many
+/// instances that write without end must fit into the memory of an entry.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// How many idle connections are kept to one instance at most.
 const MAX_IDLE: usize = 16;
 /// The part of an entry's share of an instance's connections that may be idle, in hundredths: an
@@ -75,7 +78,9 @@
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         // Its end shows in the requests that it carries.
         tokio::task::spawn_local(async move {
@@ -114,6 +119,11 @@
         }
     }
 
+    /// Closes the idle connections to an instance.
+    pub fn forget(&self, id: &name::Instance) {
+        self.idle.borrow_mut().remove(id);
+    }
+
     /// How many connections are idle.
     pub fn idle(&self) -> usize {
         self.idle.borrow().values().map(Vec::len).sum()
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -17,13 +17,14 @@
 use opentelemetry::metrics::Meter;
 use peer::uplink::{Client, Feed};
 use policy::{
+    notice::{Change, Notice},
     placement::{Choice, Placer},
     retry::Budget,
     round_robin::RoundRobin,
     view::View,
     wait::Estimator,
 };
-use slog::Logger;
+use slog::{Logger, info};
 use tokio::{sync::watch, time};
 
 use crate::{
@@ -32,6 +33,7 @@
     journal::Journal,
     meters::Meters,
     pool::{Connection, Pool},
+    whole::Kept,
 };
 
 /// How often readings are taken and idle connections are looked at.
@@ -94,6 +96,8 @@
     pub bounds: Bounds,
     /// Leave to run, by service.
     pub gate: Gate,
+    /// How much of unfinished answers is kept.
+    pub(crate) kept: Kept,
     clock: Arc<dyn Clock>,
     state: Rc<dyn State>,
     placer: RefCell<Placer>,
@@ -114,6 +118,7 @@
             meters: Meters::new(&given.meter),
             bounds: given.bounds,
             gate: Gate::default(),
+            kept: Kept::default(),
             clock: given.clock,
             state: given.state,
             placer: RefCell::new(given.placer),
@@ -224,6 +229,33 @@
             .put(instance, connection, lifetime, share, self.now());
     }
 
+    /// Takes in what an answer of an instance says of it. `id` is the request that was answered.
+    pub fn heed(&self, instance: &Instance, notice: Notice, id: Option<&str>) {
+        let now = self.now();
+        let feed = self.feed();
+        let age_ms = feed.bound.age(now).map(|age| age.as_millis() as u64);
+        for change in self.place(|placer| placer.heed(instance, notice, now)) {
+            let logger = self.journal.logger().new(slog::o!(
+                "instance" => instance.id.to_string(), "born_ms" => instance.born_ms,
+                "service" => instance.service.to_string(), "id" => id.map(str::to_owned),
+                "phase" => format!("{:?}", instance.phase), "age_ms" => age_ms,
+            ));
+            match change {
+                Change::Leaving => {
+                    info!(logger, "instance: says that it leaves");
+                    self.meters.noticed(&instance.service, "leaving");
+                    // Its idle connections are of no more use.
+                    self.pool.forget(&instance.id);
+                }
+                Change::Paused(pause) => {
+                    info!(logger, "instance: asks for a pause";
+                        "pause_ms" => pause.as_millis() as u64);
+                    self.meters.noticed(&instance.service, "pause");
+                }
+            }
+        }
+    }
+
     /// Counts a request for a service.
     pub fn count(&self, service: &name::Service) {
         let now = self.now();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -29,6 +29,9 @@
 /// leave after two seconds at the earliest.
 const STALL: Duration = Duration::from_millis(1_000);
 
+/// The longest event, in bytes. One event of each running stream may be kept in part.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Reads whole events of one attempt's body.
 pub(crate) struct Reader {
     splitter: Splitter,
@@ -43,7 +46,7 @@
         let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
             || head.headers.contains_key(header::TRANSFER_ENCODING);
         Self {
-            splitter: Splitter::new(),
+            splitter: Splitter::new().with_limit(MAX_EVENT_BYTES),
             ids: Ids::new(last),
             is_framed,
         }
@@ -158,6 +161,10 @@
         }
         loop {
             match self.wait().await {
+                // An answer that never pauses ends with the time that it may take.
+                Next::Events(_) if self.deadline_left().is_zero() => {
+                    return self.break_off("time ran out".to_owned());
+                }
                 Next::Events(events) => return Some(Ok(Frame::data(events))),
                 Next::End => {
                     self.finish();
--- a/crates/relay/tests/whole/attempts.rs
+++ b/crates/relay/tests/whole/attempts.rs
@@ -6,7 +6,10 @@
 const FOREIGN: &str = "HTTP/1.1 200 OK\r\nid: other\r\nseal: 1\r\ncontent-length: 4\r\n\r\nbody";
 const UNSEALED: &str = "HTTP/1.1 200 OK\r\nid: q\r\ncontent-length: 4\r\n\r\nbody";
 const SHORT: &str = "HTTP/1.1 200 OK\r\nid: q\r\nseal: 1\r\ncontent-length: 9\r\n\r\nbody";
-const NOT_RUN: &str = "HTTP/1.1 503 No\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+const NOT_RUN: &str = "HTTP/1.1 503 No\r\nid: q\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+const UNNAMED_REFUSAL: &str = "HTTP/1.1 503 No\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+const FOREIGN_REFUSAL: &str =
+    "HTTP/1.1 503 No\r\nid: other\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
 const FAILED: &str = "HTTP/1.1 500 Bad\r\nid: q\r\nseal: 7\r\ncontent-length: 3\r\n\r\nbad";
 const GARBAGE: &str = "what?\r\n\r\n";
 const NOTHING: &str = "";
@@ -18,6 +21,8 @@
     let cases = [
         ("/again/", GOOD, "200", 1),
         ("/again/", NOT_RUN, "200", 2),
+        ("/again/", UNNAMED_REFUSAL, "200", 2),
+        ("/again/", FOREIGN_REFUSAL, "200", 2),
         ("/again/", NOTHING, "200", 2),
         ("/again/", FOREIGN, "200", 2),
         ("/again/", UNSEALED, "200", 2),
@@ -26,6 +31,8 @@
         ("/again/", FAILED, "200", 2),
         ("/once/", GOOD, "200", 1),
         ("/once/", NOT_RUN, "200", 2),
+        ("/once/", UNNAMED_REFUSAL, "502", 1),
+        ("/once/", FOREIGN_REFUSAL, "502", 1),
         ("/once/", NOTHING, "502", 1),
         ("/once/", FOREIGN, "502", 1),
         ("/once/", UNSEALED, "502", 1),
--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -21,6 +21,7 @@
 use peer::uplink::Feed;
 use policy::{
     age::Bound,
+    notice::Notice,
     placement::{Grace, Placer},
     view::View,
 };
@@ -36,6 +37,9 @@
     task::{LocalSet, spawn_local},
 };
 
+/// How long an instance that leaves may still be used.
+pub(crate) const DRAIN: Duration = Duration::from_millis(300);
+
 /// Runs a test on one thread.
 pub(crate) fn run(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -72,6 +76,12 @@
             is_not_run: head.headers.contains_key("not-run"),
             is_sealed: head.headers.contains_key("seal"),
             version: None,
+            notice: Notice {
+                is_leaving: head.headers.contains_key("leaving"),
+                pause: text("pause")
+                    .and_then(|ms| ms.parse().ok())
+                    .map(Duration::from_millis),
+            },
         }
     }
 }
@@ -98,24 +108,31 @@
     }
 }
 
+/// Answers requests on one connection for as long as an answer says that it is kept.
 async fn answer(
     mut stream: TcpStream,
     script: Rc<RefCell<VecDeque<String>>>,
     heads: Rc<RefCell<Vec<String>>>,
 ) {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        match stream.read_u8().await {
-            Ok(byte) => head.push(byte),
-            Err(_) => return,
+    loop {
+        let Some(head) = read_head(&mut stream).await else {
+            return;
+        };
+        heads.borrow_mut().push(head);
+        let answer = script.borrow_mut().pop_front().unwrap_or_default();
+        let is_written = stream.write_all(answer.as_bytes()).await.is_ok();
+        if !is_written || !answer.contains("keep: 1") {
+            return;
         }
     }
-    heads.borrow_mut().push(String::from_utf8(head).unwrap());
-    let answer = script.borrow_mut().pop_front().unwrap_or_default();
-    let _ = stream.write_all(answer.as_bytes()).await;
-    if answer.contains("keep: 1") {
-        let _ = stream.read_u8().await;
+}
+
+pub(crate) async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
     }
+    String::from_utf8(head).ok()
 }
 
 /// Time since the start of the test.
@@ -260,7 +277,7 @@
         let regions = HashMap::from([("z".into(), "r".into())]);
         let rng = StdRng::seed_from_u64(1);
         let site = Site::new(Given {
-            placer: Placer::new("z".into(), regions, grace, rng, Instant::ZERO),
+            placer: Placer::new("z".into(), regions, grace, rng, Instant::ZERO).with_drain(DRAIN),
             clock,
             state: state.clone(),
             dialect: Rc::new(Plain),
--- a/crates/relay/tests/whole/gate.rs
+++ b/crates/relay/tests/whole/gate.rs
@@ -18,7 +18,7 @@
         let service = "s".into();
         let enter = async || {
             gate::enter(&relay.site, &service, TARGET, Timeliness::OnTime, || {
-                Some(2.0)
+                Ok(2.0)
             })
             .await
         };
@@ -51,15 +51,13 @@
         let enter = async |slots| {
             gate::enter(&relay.site, &service, TARGET, Timeliness::OnTime, || slots).await
         };
-        let held = enter(Some(0.1)).await;
+        let held = enter(Ok(0.1)).await;
         assert!(held.is_ok());
-        assert!(matches!(
-            enter(Some(0.1)).await,
-            Err(placement::Error::Busy)
-        ));
-        assert!(matches!(
-            enter(None).await,
-            Err(placement::Error::NoInstance)
-        ));
+        assert!(matches!(enter(Ok(0.1)).await, Err(placement::Error::Busy)));
+        let pause = placement::Error::Paused(Duration::from_secs(7));
+        for error in [placement::Error::NoInstance, pause] {
+            let refused = enter(Err(error)).await.err();
+            assert_eq!(refused, Some(error), "at once and by its own reason");
+        }
     });
 }
--- a/crates/relay/tests/whole/main.rs
+++ b/crates/relay/tests/whole/main.rs
@@ -6,3 +6,5 @@
 mod common;
 mod gate;
 mod heads;
+mod notices;
+mod stale;
--- a/crates/stager/src/stager.rs
+++ b/crates/stager/src/stager.rs
@@ -160,7 +160,7 @@
 
     /// See [`HURRY_PERCENT`].
     fn hurry(&self, manifest: &Manifest) -> Duration {
-        let bytes = manifest.chunk_bytes * manifest.digests.len();
+        let bytes = manifest.chunk_bytes.saturating_mul(manifest.digests.len());
         let copy =
             Duration::from_secs_f64(bytes as f64 / self.given.link_bytes_per_s.max(1) as f64);
         copy * HURRY_PERCENT / 100
