Let a few entries use a cold instance, so that their sum keeps its bound

Cause: each entry took an equal part of a cold instance's rate with a burst of one. A fraction of a request begins one, so that 25 entries may begin 25 at once; and after a restart of everything each entry knows only itself and takes the whole rate.

Ruled out: a smaller rate (a fraction still begins a request); leases from the leader or the agent (a message for each instance and entry just when everything starts, with a fallback that must keep the bound anyway).

Change: `policy::roster` knows the entries, counts one that vanished for 10 s more, and assumes as many as there are instances for 2.5 s after its first list. `policy::cold` says how many entries have a place at an instance and at which rate; 60 in 100 of the places go to entries in the instance's zone. One that gains a place begins with no burst. The retry budget and the share of connections use the same upper bound.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -20,7 +20,9 @@
 use crate::{
     breaker::{self, State},
     bucket::Bucket,
+    cold::{self, Limit},
     notice::{self, Availability, Notice},
+    roster::Roster,
     view::View,
 };
 
@@ -31,9 +33,6 @@
 const COLD_PENALTY: f64 = 0.5;
 /// Requests that an entry may have in flight at an instance beyond the instance's slots.
 const MAX_WAITING: u32 = 8;
-/// Percentage of a cold instance's sustainable rate that all entries together may use. The rest is
-/// headroom for requests that arrive in bursts.
-const COLD_PERCENT: u64 = 80;
 /// Retry delay when every instance is busy: about the duration of a typical answer, after which the
 /// running requests have ended.
 const BUSY_RETRY: Duration = Duration::from_millis(1_200);
@@ -121,8 +120,17 @@
     in_flight: u32,
     /// Prompt tokens of the requests whose answers have not begun.
     prefill_tokens: u64,
-    /// Rate limit while the instance is cold.
-    cold: Option<Bucket>,
+    /// What this entry may send while the instance is cold.
+    cold: Option<ColdShare>,
+}
+
+/// One entry's share of a cold instance.
+#[derive(Clone, Copy, Debug)]
+struct ColdShare {
+    /// The roster's epoch for which the share holds.
+    epoch: u64,
+    has_place: bool,
+    bucket: Bucket,
 }
 
 /// The state of an engine as reported by its agent.
@@ -159,8 +167,10 @@
     zones_out: Vec<name::AvailabilityZone>,
     /// The reported state of engines, by address.
     engines: HashMap<SocketAddr, Engine>,
-    /// The number of entries, this one included.
-    entries: u32,
+    /// The entries that share the instances.
+    roster: Roster,
+    /// What cold instances may get from all entries.
+    cold_limit: Limit,
     rng: StdRng,
 }
 
@@ -174,6 +184,7 @@
         now: Instant,
     ) -> Self {
         Self {
+            roster: Roster::new(name::Vm::from(""), zone.clone()),
             zone,
             regions,
             grace,
@@ -185,11 +196,25 @@
             cold_until: HashMap::new(),
             zones_out: Vec::new(),
             engines: HashMap::new(),
-            entries: 1,
+            cold_limit: Limit::default(),
             rng,
         }
     }
 
+    /// Names the VM of this entry, by which the entries agree who uses which cold instance.
+    #[must_use]
+    pub fn with_vm(mut self, vm: name::Vm) -> Self {
+        self.roster = Roster::new(vm, self.zone.clone());
+        self
+    }
+
+    /// Sets what a cold instance may get from all entries together.
+    #[must_use]
+    pub fn with_cold_limit(mut self, limit: Limit) -> Self {
+        self.cold_limit = limit;
+        self
+    }
+
     /// Uses instances that say that they leave for so long after their first notice, where nothing
     /// else can serve a request. Without it they are not used again.
     #[must_use]
@@ -206,12 +231,10 @@
         let entries = view
             .vms
             .values()
-            .filter(|vm| vm.announcement.upstream == Upstream::Entry);
-        let entries = u32::try_from(entries.count()).unwrap_or(u32::MAX).max(1);
-        if entries != self.entries {
-            self.entries = entries;
-            self.update_cold_rates(view, now);
-        }
+            .map(|vm| &vm.announcement)
+            .filter(|announcement| announcement.upstream == Upstream::Entry)
+            .map(|announcement| (&announcement.vm, &announcement.zone));
+        self.roster.observe(entries, view.instances.len(), now);
         self.loads
             .retain(|id, load| load.in_flight > 0 || view.instances.contains_key(id));
         self.breakers.retain(|id| view.instances.contains_key(id));
@@ -219,9 +242,9 @@
             .retain(|id| view.instances.contains_key(id), now);
     }
 
-    /// The number of entries that share the instances, this one included.
-    pub fn entries(&self) -> u32 {
-        self.entries
+    /// The most entries that may share the instances, this one included.
+    pub fn entries(&self, now: Instant) -> u32 {
+        self.roster.most(now)
     }
 
     /// Chooses the eligible instance with the lowest score.
@@ -308,7 +331,7 @@
         }
         match error {
             Some(error) => Err(self.spread(error)),
-            None => Ok(slots / f64::from(self.entries)),
+            None => Ok(slots / f64::from(self.roster.count())),
         }
     }
 
@@ -338,22 +361,47 @@
         let id = &choice.instance.id;
         self.breakers.begin(id, now);
         let service = view.services.get(&choice.instance.service);
-        let cold = service.and_then(|service| service.cold);
+        let warmup = service.and_then(|service| service.cold);
         let is_cold = self.is_cold(&choice.instance, now);
-        let entries = self.entries;
         let load = self.loads.entry(id.clone()).or_default();
         load.in_flight += 1;
         load.prefill_tokens += u64::from(prompt_tokens);
-        match (cold, is_cold) {
-            (Some(cold), true) => {
-                load.cold
-                    .get_or_insert_with(|| cold_bucket(cold, entries, now))
+        match warmup.filter(|_| is_cold) {
+            None => load.cold = None,
+            Some(warmup) => {
+                self.cold_share(&choice.instance, warmup, now)
+                    .bucket
                     .take(now);
             }
-            _ => load.cold = None,
         }
     }
 
+    /// This entry's share of a cold instance, by the entries that are known now.
+    fn cold_share(&mut self, instance: &Instance, warmup: Warmup, now: Instant) -> &mut ColdShare {
+        let epoch = self.roster.epoch(now);
+        let load = self.loads.entry(instance.id.clone()).or_default();
+        let old = load.cold.filter(|share| share.epoch == epoch);
+        let share = old.unwrap_or_else(|| {
+            let places = self.cold_limit.places(warmup).min(self.roster.most(now));
+            let rate = cold::rate_of_one(warmup, places);
+            let mut bucket = load
+                .cold
+                .map_or_else(|| Bucket::new(rate, 1, now), |share| share.bucket);
+            bucket.set_rate(rate, now);
+            // One that gains a place begins with no burst: another one may just have lost it.
+            if load.cold.is_some_and(|share| !share.has_place) {
+                bucket.take(now);
+            }
+            let (id, zone) = (&instance.id, &instance.zone);
+            ColdShare {
+                epoch,
+                has_place: self.roster.has_place(id, zone, places, now),
+                bucket,
+            }
+        });
+        load.cold.insert(share)
+    }
+
     /// Records that the answer to a request has begun.
     pub fn first_event(&mut self, id: &name::Instance, prompt_tokens: u32) {
         if let Some(load) = self.loads.get_mut(id) {
@@ -447,21 +495,19 @@
     /// Returns the load of the instance plus penalties and jitter, in multiples of its slots, or
     /// `None` if it is at its limit.
     fn score(&mut self, service: &Service, instance: &Instance, now: Instant) -> Option<f64> {
-        let is_cold = self.is_cold(instance, now);
+        let warmup = service.cold.filter(|_| self.is_cold(instance, now));
         let jitter = self.rng.random_range(0.0..0.02);
-        let entries = self.entries;
+        let entries = self.roster.count();
+        if let Some(warmup) = warmup {
+            let share = self.cold_share(instance, warmup, now);
+            if !(share.has_place && share.bucket.has(now)) {
+                return None;
+            }
+        }
         let load = self.loads.entry(instance.id.clone()).or_default();
         if load.in_flight >= instance.slots.saturating_add(MAX_WAITING) {
             return None;
         }
-        if let (true, Some(cold)) = (is_cold, service.cold) {
-            let bucket = load
-                .cold
-                .get_or_insert_with(|| cold_bucket(cold, entries, now));
-            if !bucket.has(now) {
-                return None;
-            }
-        }
         let slots = f64::from(instance.slots.max(1));
         let running = f64::from(load.in_flight) * f64::from(entries) / slots;
         let prefill = service.engine.as_ref().map_or(0.0, |engine| {
@@ -474,9 +520,9 @@
             true => 0.0,
             false => REMOTE_PENALTY,
         };
-        let coldness = match is_cold {
-            true => COLD_PENALTY,
-            false => 0.0,
+        let coldness = match warmup {
+            Some(_) => COLD_PENALTY,
+            None => 0.0,
         };
         Some(running + prefill + distance + coldness + jitter)
     }
@@ -512,21 +558,6 @@
         }
     }
 
-    /// Recomputes the rate limits of cold instances after the number of entries changed. An entry
-    /// that has just started may learn of the others late.
-    fn update_cold_rates(&mut self, view: &View, now: Instant) {
-        for (id, load) in &mut self.loads {
-            let service = view
-                .instances
-                .get(id)
-                .and_then(|instance| view.services.get(&instance.service));
-            let cold = service.and_then(|service| service.cold);
-            if let (Some(bucket), Some(cold)) = (&mut load.cold, cold) {
-                bucket.set_rate(cold_rate(cold, self.entries), now);
-            }
-        }
-    }
-
     fn observe_engines(&mut self, view: &View) {
         let agents = view
             .vms
@@ -563,14 +594,3 @@
         self.zones_out = view.zones_out.iter().cloned().collect();
     }
 }
-
-/// One entry's share of the rate that a cold instance sustains, in thousandths of a request per
-/// second.
-fn cold_rate(cold: Warmup, entries: u32) -> u64 {
-    (cold.millicalls_per_s * COLD_PERCENT / 100 / u64::from(entries)).max(1)
-}
-
-/// A rate limit for one cold instance, with a burst of one request.
-fn cold_bucket(cold: Warmup, entries: u32, now: Instant) -> Bucket {
-    Bucket::new(cold_rate(cold, entries), 1, now)
-}
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -224,9 +224,9 @@
         let feed = self.feed();
         let service = feed.view.services.get(&instance.service);
         let most = service.map_or(0, |service| service.max_connections);
-        let share = most / self.place(|placer| placer.entries());
-        self.pool
-            .put(instance, connection, lifetime, share, self.now());
+        let now = self.now();
+        let share = most / self.place(|placer| placer.entries(now));
+        self.pool.put(instance, connection, lifetime, share, now);
     }
 
     /// Takes in what an answer of an instance says of it. `id` is the request that was answered.
@@ -269,7 +269,8 @@
     }
 
     fn with_budget<T>(&self, service: &name::Service, work: impl FnOnce(&mut Budget) -> T) -> T {
-        let entries = self.place(|placer| placer.entries());
+        let now = self.now();
+        let entries = self.place(|placer| placer.entries(now));
         // Half of the common slack stays unused, because entries that have just started are not
         // known to all others.
         let floor = u64::from(self.bounds.retry_slack / entries / 2);
