Wait for room on a full disk instead of ending

Ruled out: leading on without writing (it could neither apply nor acknowledge). Retrying on the open database: it takes nothing after a failed commit.

Change: the store opens its database again after a failure and saves the same batch; a commit that reached the disk all the same is found then. The writer waits for room, the replica is told (`Replica::stall`): it neither leads nor campaigns nor votes until the write is done. A start on a full disk waits.

Conclusion: `replication::open` is async now; its two callers in tests and bench await it, nothing else changed there.

--- a/crates/bench/src/replicas/node.rs
+++ b/crates/bench/src/replicas/node.rs
@@ -160,7 +160,7 @@
         logger: telemetry::log::discard(),
         meter: NoopMeterProvider::new().meter("bench"),
     };
-    let replication = replication::open(setup, recent.clone(), Rc::new(NoVms))?;
+    let replication = replication::open(setup, recent.clone(), Rc::new(NoVms)).await?;
     let listener = TcpListener::bind(seat.address).await?;
     let listener = match seat.count {
         None => listener,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -103,7 +103,9 @@
     }
     let machine = Rc::new(RefCell::new(Machine::new(core.clone())));
     let sessions = Rc::new(exchange::Sessions::new(core.clone()));
-    let replica = replication::open(setup, machine, sessions).context(ReplicationSnafu)?;
+    let replica = replication::open(setup, machine, sessions)
+        .await
+        .context(ReplicationSnafu)?;
     core.bind(replica.log);
     let dialer = Dialer::new(given.secret.clone());
     let server = Server::new(given.secret)
--- a/crates/control/src/replication/core.rs
+++ b/crates/control/src/replication/core.rs
@@ -1,7 +1,7 @@
 //! The replica with everything that it drives.
 
 use std::{
-    cell::{Ref, RefCell, RefMut},
+    cell::{Cell, Ref, RefCell, RefMut},
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
@@ -17,7 +17,7 @@
 use peer::{connection::Dialer, seeds::Seeds};
 use policy::{
     age::Bound,
-    replica::{Endpoint, Replica, Role, Timing},
+    replica::{Endpoint, Replica, Role, Synced, Timing},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use slog::{Logger, error, info, warn};
@@ -30,7 +30,7 @@
 
 use super::{
     Setup,
-    disk::{Disk, Results},
+    disk::{Disk, Event, Results},
     error::{Error, StoreSnafu},
     link::Link,
     meter::Instruments,
@@ -39,6 +39,8 @@
 
 /// How long one call to another replica may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The pause before a log on a full disk is opened again.
+const OPEN_RETRY: Duration = Duration::from_millis(200);
 /// Heartbeats are checked this often within their period.
 const TICKS_PER_HEARTBEAT: u32 = 2;
 
@@ -70,18 +72,21 @@
     directory: RefCell<BTreeMap<Identity, SocketAddr>>,
     bound: RefCell<Bound>,
     last: RefCell<(Role, Option<Identity>)>,
+    /// Since when the disk is full.
+    full_since: Cell<Option<Instant>>,
 }
 
 impl Core {
     pub(super) fn open(
         setup: Setup,
+        opened: Opened,
         machine: Rc<RefCell<dyn Machine>>,
     ) -> Result<(Self, Results), Error> {
         let Opened {
             store,
             identity,
             saved,
-        } = open_store(&setup)?;
+        } = opened;
         let instruments = Instruments::new(&setup.meter);
         let (disk, results) = Disk::new(store, instruments.write_seconds.clone())?;
         let seat = Endpoint {
@@ -111,6 +116,7 @@
             directory: RefCell::default(),
             bound: RefCell::new(Bound::UNKNOWN),
             last: RefCell::new((Role::Follower, None)),
+            full_since: Cell::new(None),
         };
         Ok((core, results))
     }
@@ -273,6 +279,28 @@
         self.replica.borrow_mut().compact(state);
     }
 
+    /// The disk has no room for the batch that is being written. The replica neither leads nor votes
+    /// until there is some, because it could promise nothing.
+    fn stall(&self, reason: &str) {
+        let now = self.now();
+        self.full_since.set(Some(now));
+        self.instruments.disk_full.record(1, &[]);
+        warn!(self.logger, "log: the disk is full, writes wait"; "reason" => reason,
+            "role" => ?self.replica().role(), "commit" => self.replica().commit());
+        self.replica.borrow_mut().stall(now);
+    }
+
+    /// The batch is durable.
+    fn advance(&self, synced: Synced) {
+        let now = self.now();
+        if let Some(since) = self.full_since.take() {
+            self.instruments.disk_full.record(0, &[]);
+            info!(self.logger, "log: the disk has room again";
+                "full_ms" => now.since(since).as_millis() as u64);
+        }
+        self.replica.borrow_mut().advance(now, synced);
+    }
+
     /// Tells about changes, and lets go of those who wait for a lead that is over.
     fn watch(&self) {
         let (part, leader, term, commit) = {
@@ -305,16 +333,33 @@
     }
 }
 
-fn open_store(setup: &Setup) -> Result<Opened, Error> {
+/// Opens the store of the data folder, and waits for room where the disk is full.
+pub(super) async fn open_store(setup: &Setup) -> Result<Opened, Error> {
+    let mut is_told = false;
+    loop {
+        match try_open(setup) {
+            Err(error) if error.is_full() => {
+                if !std::mem::replace(&mut is_told, true) {
+                    warn!(setup.logger, "log: the disk is full, waiting to open the log";
+                        "reason" => %error);
+                }
+                time::sleep(OPEN_RETRY).await;
+            }
+            opened => return opened.context(StoreSnafu),
+        }
+    }
+}
+
+fn try_open(setup: &Setup) -> Result<Opened, store::Error> {
     let fresh = || Identity(rand::rng().next_u64().max(1));
     match Store::open(&setup.folder, fresh()) {
         Err(damage @ store::Error::Damaged { .. }) => {
             error!(setup.logger, "log: {}", damage);
-            let path = Store::set_aside(&setup.folder).context(StoreSnafu)?;
+            let path = Store::set_aside(&setup.folder)?;
             warn!(setup.logger, "log: starting empty"; "moved" => %path.display());
-            Store::open(&setup.folder, fresh()).context(StoreSnafu)
+            Store::open(&setup.folder, fresh())
         }
-        opened => opened.context(StoreSnafu),
+        opened => opened,
     }
 }
 
@@ -329,9 +374,10 @@
                 core.replica.borrow_mut().tick(now);
             }
             result = results.recv() => {
-                let synced = result.ok_or(Error::Writer)??;
-                let now = core.now();
-                core.replica.borrow_mut().advance(now, synced);
+                match result.ok_or(Error::Writer)?? {
+                    Event::Synced(synced) => core.advance(synced),
+                    Event::Full { reason } => core.stall(&reason),
+                }
             }
         }
         core.pump();
--- a/crates/control/src/replication/mod.rs
+++ b/crates/control/src/replication/mod.rs
@@ -75,13 +75,15 @@
 ///
 /// # Errors
 ///
-/// If the folder can't be used. A damaged file is moved aside, and the replica starts empty.
-pub fn open(
+/// If the folder can't be used. A damaged file is moved aside, and the replica starts empty. On a
+/// full disk it waits for room.
+pub async fn open(
     setup: Setup,
     machine: Rc<RefCell<dyn Machine>>,
     vms: Rc<dyn Vms>,
 ) -> Result<Replication, Error> {
-    let (core, synced) = Core::open(setup, machine)?;
+    let opened = core::open_store(&setup).await?;
+    let (core, synced) = Core::open(setup, opened, machine)?;
     let core = Rc::new(core);
     core.pump();
     Ok(Replication {
--- a/crates/control/tests/replication/node.rs
+++ b/crates/control/tests/replication/node.rs
@@ -155,7 +155,9 @@
         logger: telemetry::log::discard(),
         meter: NoopMeterProvider::new().meter("test"),
     };
-    let replication = replication::open(setup, numbers.clone(), Rc::new(NoVms)).unwrap();
+    let replication = replication::open(setup, numbers.clone(), Rc::new(NoVms))
+        .await
+        .unwrap();
     let listener = TcpListener::bind(seat.address).await.unwrap();
     let server = Server::new(*b"secret").with_replica(replication.service);
     tokio::task::spawn_local(server.run(listener));
--- a/crates/policy/src/replica/core.rs
+++ b/crates/policy/src/replica/core.rs
@@ -103,6 +103,8 @@
     sendable: Vec<Message>,
     held: Vec<Message>,
     writing: Option<Writing>,
+    /// Whether the write in progress can't be completed for now.
+    is_stalled: bool,
     pub(super) promotion: Promotion,
     trailing: u64,
 }
@@ -153,6 +155,7 @@
             sendable: Vec::new(),
             held: Vec::new(),
             writing: None,
+            is_stalled: false,
             promotion: Promotion::default(),
             trailing: TRAILING_ENTRIES,
         }
@@ -229,7 +232,9 @@
             State::Leader(_) => self.tick_leader(now),
             // A new campaign would void a vote that is still being written. Where writes take
             // longer than the election timeout, no campaign would ever succeed.
-            _ if now >= self.campaign_at && !self.is_hard_unsaved() => self.campaign(now),
+            _ if now >= self.campaign_at && !self.is_hard_unsaved() && !self.is_stalled => {
+                self.campaign(now);
+            }
             _ => {}
         }
     }
@@ -268,11 +273,22 @@
         }
     }
 
+    /// Reports that the last [`Write`] can't be completed for now, for instance because the disk is
+    /// full. Until [`Self::advance`] the replica neither leads nor campaigns; another one, whose
+    /// disk works, can lead.
+    pub fn stall(&mut self, now: Instant) {
+        self.is_stalled = self.writing.is_some();
+        if matches!(self.state, State::Leader(_)) {
+            self.become_follower(now, self.hard.term);
+        }
+    }
+
     /// Confirms that the last [`Write`] is durable and releases the messages that depend on it.
     pub fn advance(&mut self, now: Instant, Synced { last, term }: Synced) {
         let Some(Writing { messages, has_hard }) = self.writing.take() else {
             return;
         };
+        self.is_stalled = false;
         self.sendable.extend(messages);
         self.persisted_term = term;
         if has_hard {
--- a/crates/policy/tests/replica_rules.rs
+++ b/crates/policy/tests/replica_rules.rs
@@ -401,3 +401,41 @@
     let bodies: Vec<_> = messages.into_iter().map(|sent| sent.body).collect();
     assert_eq!(bodies, [reply(4, 1), reply(4, 2)]);
 }
+
+/// Fails where a leader whose disk is full goes on leading: it could neither apply nor acknowledge
+/// what the others commit.
+#[test]
+fn a_replica_whose_disk_is_full_neither_leads_nor_votes_until_it_has_room() {
+    let mut leader = replica(A, 1, &[]);
+    let elected_at = elect(&mut leader);
+    leader.propose(elected_at, vec![1]).unwrap();
+    let write = leader.ready().write.expect("the entry is written");
+    leader.stall(elected_at);
+    assert_eq!(leader.role(), Role::Follower);
+    // It does not campaign, however long it hears of nobody.
+    for millis in (0..20_000).step_by(100) {
+        let now = elected_at + std::time::Duration::from_millis(millis);
+        leader.tick(now);
+        let ready = leader.ready();
+        assert!(
+            ready.messages.is_empty() && ready.write.is_none(),
+            "{millis} ms"
+        );
+    }
+    // A vote that it can't write is not given.
+    let now = elected_at + std::time::Duration::from_secs(20);
+    let last = Position { index: 9, term: 9 };
+    leader.step(now, message(B, A, 9, Body::Vote { last }));
+    assert!(leader.ready().messages.is_empty());
+    // There is room again.
+    let Ok(synced) = write.persist(|_| Ok::<(), Infallible>(()));
+    leader.advance(now, synced);
+    let bodies: Vec<_> = pump(&mut leader, now)
+        .into_iter()
+        .map(|message| message.body)
+        .collect();
+    assert_eq!(bodies, [Body::VoteReply { is_granted: true }]);
+    let later = now + std::time::Duration::from_secs(20);
+    leader.tick(later);
+    assert!(!pump(&mut leader, later).is_empty(), "it campaigns again");
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -1,6 +1,6 @@
 //! Failures of the store, with the file at which they arose.
 
-use std::path::PathBuf;
+use std::{io::ErrorKind, path::PathBuf};
 
 use snafu::Snafu;
 
@@ -42,3 +42,18 @@
         source: Box<redb::Error>,
     },
 }
+
+impl Error {
+    /// Whether the disk had no room. It may have some again, and nothing is lost until then.
+    pub fn is_full(&self) -> bool {
+        let kind = match self {
+            Self::Io { source, .. } => source.kind(),
+            Self::Commit { source, .. } => match source.as_ref() {
+                redb::Error::Io(source) => source.kind(),
+                _ => return false,
+            },
+            Self::Locked { .. } | Self::Damaged { .. } => return false,
+        };
+        matches!(kind, ErrorKind::StorageFull | ErrorKind::QuotaExceeded)
+    }
+}
--- a/crates/store/src/file.rs
+++ b/crates/store/src/file.rs
@@ -37,10 +37,15 @@
     last: u64,
 }
 
+/// Opens the database at a path, or creates it.
+pub type Medium = Arc<dyn Fn(&Path) -> Result<Database, DatabaseError> + Send + Sync>;
+
 /// The durable state of a replica. While it is open no other process can open the folder.
 pub struct Store {
     path: PathBuf,
-    database: Database,
+    medium: Medium,
+    /// Nothing after a commit that failed: the database takes no more until it is opened again.
+    database: Option<Database>,
     head: Head,
 }
 
@@ -61,13 +66,22 @@
     ///
     /// [`Error::Damaged`] if the file does not hold what was last made durable.
     pub fn open(folder: &Path, fresh: Identity) -> Result<Opened, Error> {
+        Self::open_on(Arc::new(open_file), folder, fresh)
+    }
+
+    /// Opens the store as [`Store::open`] does, with its file on another medium.
+    ///
+    /// # Errors
+    ///
+    /// See [`Store::open`].
+    pub fn open_on(medium: Medium, folder: &Path, fresh: Identity) -> Result<Opened, Error> {
         fs::create_dir_all(folder).context(IoSnafu {
             step: "create the folder",
             path: folder,
         })?;
         let path = folder.join(FILE);
         // Debug builds of the database panic on some kinds of damage.
-        match catch_unwind(AssertUnwindSafe(|| open(&path, fresh))) {
+        match catch_unwind(AssertUnwindSafe(|| open(medium, &path, fresh))) {
             Ok(Ok(opened)) => {
                 sync_folder(folder)?;
                 Ok(opened)
@@ -104,11 +118,21 @@
     ///
     /// # Errors
     ///
-    /// If the disk failed. The caller must not promise anything after that.
+    /// If the disk failed. The caller must not promise anything after that, unless the same batch
+    /// is saved later: where [`Error::is_full`] holds, that may succeed.
     pub fn save(&mut self, batch: &Batch) -> Result<(), Error> {
         let path = &self.path;
-        let head = commit(&self.database, self.head, batch).context(CommitSnafu { path })?;
-        self.head = head;
+        let database = match self.database.take() {
+            Some(database) => database,
+            None => {
+                let (database, head) = reopen(&self.medium, path, self.head.identity)?;
+                // A commit may have reached the disk although it failed at its end.
+                self.head = head;
+                database
+            }
+        };
+        self.head = commit(&database, self.head, batch).context(CommitSnafu { path })?;
+        self.database = Some(database);
         Ok(())
     }
 
@@ -124,12 +148,25 @@
     }
 }
 
-fn open(path: &Path, fresh: Identity) -> Result<Opened, Error> {
-    let database = Database::builder()
+fn open_file(path: &Path) -> Result<Database, DatabaseError> {
+    Database::builder()
         .set_cache_size(CACHE_BYTES)
         .set_check_integrity_on_open(true)
         .create(path)
-        .map_err(|error| opening(path, error))?;
+}
+
+/// Opens the database again that has the given identity.
+fn reopen(medium: &Medium, path: &Path, identity: Identity) -> Result<(Database, Head), Error> {
+    let damaged = |detail: String| DamagedSnafu { path, detail }.build();
+    let database = medium(path).map_err(|error| opening(path, error))?;
+    match load(&database).map_err(damaged)? {
+        Some((head, ..)) if head.identity == identity => Ok((database, head)),
+        _ => Err(damaged("it was replaced while it was in use".to_owned())),
+    }
+}
+
+fn open(medium: Medium, path: &Path, fresh: Identity) -> Result<Opened, Error> {
+    let database = medium(path).map_err(|error| opening(path, error))?;
     let damaged = |detail: String| DamagedSnafu { path, detail }.build();
     let found = load(&database).map_err(damaged)?;
     let (head, snapshot, entries) = match found {
@@ -147,7 +184,8 @@
     };
     let store = Store {
         path: path.to_owned(),
-        database,
+        medium,
+        database: Some(database),
         head,
     };
     Ok(Opened {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -10,4 +10,4 @@
 mod file;
 
 pub use error::Error;
-pub use file::{Opened, Store};
+pub use file::{Medium, Opened, Store};
