Let few agents read the list of chunks, and await first answers

The agents' logs: 478 refused questions for the list of chunks. All 153 agents ask the origin at once, which takes 48 connections, and try again every 0.2 s. Agents that had not answered their first question yet counted as gone, so that others fetched their chunks from the origin: 97 chunks of version 2 in place of 48, and one for each of 63 agents that join.

`policy::spread`: an agent that may still answer its first question is awaited for 1 s; who does not know the version to be new asks the origin only once its region has answered; a holder that is busy sending another chunk is not passed over for the origin. A list that proves wrong is read from the origin again.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod gate;
 pub mod ledger;
 pub mod lifecycle;
+pub mod listing;
 pub mod membership;
 pub mod notice;
 pub mod orders;
--- a/crates/policy/src/spread.rs
+++ b/crates/policy/src/spread.rs
@@ -33,6 +33,10 @@
 const FAST_FETCH: Duration = Duration::from_millis(250);
 /// The time for other agents to report their holdings before the first request to the origin.
 const OFFER_WAIT: Duration = Duration::from_millis(150);
+/// The time for the first answer of another agent. All agents of a region open connections to each
+/// other when a version is named, which takes the longer the more they are. If those that have not
+/// answered yet counted as gone, all agents would fetch from the origin.
+const FIRST_ANSWER: Duration = Duration::from_millis(1_000);
 /// The time without progress after which the next agent in order takes over.
 const TURN: Duration = Duration::from_millis(1_000);
 /// The pause before a chunk that could not be fetched or staged is fetched again.
@@ -116,6 +120,8 @@
     open_since: Option<Instant>,
     /// When the last query was answered.
     answered_at: Option<Instant>,
+    /// Whether the last query failed.
+    has_failed: bool,
 }
 
 /// The agents that are expected to get a chunk before this agent.
@@ -214,7 +220,7 @@
         let own = self
             .predecessors
             .iter()
-            .filter(|before| self.responsive_count(&before.local, &unresponsive) == 0);
+            .filter(|before| self.awaited_count(&before.local, &unresponsive, now) == 0);
         let owners = own.flat_map(|before| &before.remote);
         let is_stuck = now.since(self.progress_at) >= STUCK_AFTER;
         let remote = self.remote.iter().filter(|_| is_stuck);
@@ -237,6 +243,7 @@
         let query = self.queries.entry(vm.clone()).or_default();
         query.open_since = None;
         query.answered_at = held.is_some().then_some(now).or(query.answered_at);
+        query.has_failed = held.is_none();
         for index in held.iter().flatten() {
             if let Some(slot) = self.slots.get_mut(*index) {
                 slot.offered_at.get_or_insert(now);
@@ -419,16 +426,19 @@
         unresponsive: &BTreeSet<name::Vm>,
         now: Instant,
     ) -> Option<Source> {
+        let is_avoided =
+            |source: &Source| self.avoided.get(source).is_some_and(|until| *until > now);
         let has_room = |source: &Source, limit: usize| {
-            let is_avoided = self.avoided.get(source).is_some_and(|until| *until > now);
-            !is_avoided && running.get(source).is_none_or(|count| *count < limit)
+            !is_avoided(source) && running.get(source).is_none_or(|count| *count < limit)
         };
-        let may_be_asked = |vm: &&name::Vm| {
+        let is_holder = |vm: &&name::Vm| {
             let offer = self.offers.get(*vm);
             offer.is_some_and(|held| held.contains(&index))
                 && !unresponsive.contains(*vm)
-                && has_room(&Source::Peer((*vm).clone()), PER_PEER)
+                && !is_avoided(&Source::Peer((*vm).clone()))
         };
+        let may_be_asked =
+            |vm: &&name::Vm| is_holder(vm) && has_room(&Source::Peer((*vm).clone()), PER_PEER);
         let before = &self.predecessors[index];
         // A chunk that was first offered recently is still being sent to the predecessors.
         let offered_at = self.slots[index].offered_at;
@@ -439,19 +449,28 @@
             holders.min_by_key(|vm| self.preference(index, vm))
         };
         let remote = || {
-            let may_cross = idle >= turn(self.responsive_count(&before.local, unresponsive));
+            let may_cross = idle >= turn(self.awaited_count(&before.local, unresponsive, now));
             let found = before.remote.iter().chain(&self.remote).find(may_be_asked);
             found.filter(|_| may_cross)
         };
         let origin = || {
-            let place = self.responsive_count(&before.local, unresponsive)
-                + self.responsive_count(&before.remote, unresponsive);
+            let place = self.awaited_count(&before.local, unresponsive, now)
+                + self.awaited_count(&before.remote, unresponsive, now);
             let wait = turn(place) * self.origin_failures.clamp(1, MAX_WAIT_FACTOR);
             let has_waited = self.origin_failures == 0 || now.since(self.origin_failed_at) >= wait;
             let is_first = before.local.is_empty() && before.remote.is_empty();
-            let are_offers_in =
-                now.since(self.started_at) >= OFFER_WAIT || (self.is_fresh && is_first);
-            let is_due = are_offers_in && idle >= turn(place) && has_waited;
+            let are_offers_in = match now.since(self.started_at) {
+                _ if self.is_fresh && is_first => true,
+                waited if waited >= FIRST_ANSWER => true,
+                waited => waited >= OFFER_WAIT && self.have_locals_answered(),
+            };
+            // A holder that sends this agent another chunk is free soon.
+            let is_offered = self
+                .local
+                .iter()
+                .chain(&before.remote)
+                .any(|vm| is_holder(&vm));
+            let is_due = are_offers_in && idle >= turn(place) && has_waited && !is_offered;
             (is_due && has_room(&Source::Origin, PER_ORIGIN)).then_some(Source::Origin)
         };
         let peer = local().or_else(remote);
@@ -468,11 +487,31 @@
         (received, mix(own, text_key(vm.as_str())))
     }
 
-    /// How many of the given agents answer queries. Only these are waited for.
-    fn responsive_count(&self, vms: &[name::Vm], unresponsive: &BTreeSet<name::Vm>) -> usize {
-        vms.iter()
-            .filter(|vm| self.offers.contains_key(*vm) && !unresponsive.contains(*vm))
-            .count()
+    /// Whether each agent of the region has answered a query or failed to. An agent that has just
+    /// started may not know any other one yet.
+    fn have_locals_answered(&self) -> bool {
+        let has_answered = |vm: &name::Vm| {
+            let query = self.queries.get(vm);
+            query.is_some_and(|query| query.answered_at.is_some() || query.has_failed)
+        };
+        !self.local.is_empty() && self.local.iter().all(has_answered)
+    }
+
+    /// How many of the given agents answer queries, or may still answer their first one. Only these
+    /// are waited for.
+    fn awaited_count(
+        &self,
+        vms: &[name::Vm],
+        unresponsive: &BTreeSet<name::Vm>,
+        now: Instant,
+    ) -> usize {
+        let is_early = now.since(self.started_at) < FIRST_ANSWER;
+        let has_failed = |vm: &name::Vm| self.queries.get(vm).is_some_and(|it| it.has_failed);
+        let is_awaited = |vm: &&name::Vm| {
+            let answers = self.offers.contains_key(*vm);
+            (answers || (is_early && !has_failed(vm))) && !unresponsive.contains(*vm)
+        };
+        vms.iter().filter(is_awaited).count()
     }
 
     /// The agents with a query unanswered for [`RESPONSE_TIMEOUT`] while most of the other agents
--- a/crates/stager/src/bring.rs
+++ b/crates/stager/src/bring.rs
@@ -15,6 +15,7 @@
 use peer::{
     chunks::{Fetched, Holdings, Session},
     connection::Dialer,
+    pack,
 };
 use policy::spread::{Fetch, Miss, Source, Spread};
 use slog::{Logger, debug, info, warn};
@@ -97,6 +98,19 @@
         holdings.map_err(|error| self.lose(address, &error))
     }
 
+    /// An agent's list of a version's chunks, if it has one.
+    pub(crate) async fn manifest(
+        &self,
+        address: SocketAddr,
+        version: Digest,
+    ) -> Result<Option<Manifest>, String> {
+        let session = self.session(address).await?;
+        let listed = session.manifest(version).await;
+        let listed = listed.map_err(|error| self.lose(address, &error))?;
+        let decoded = listed.map(|bytes| pack::decode(&bytes)).transpose();
+        decoded.map_err(|error| error.to_string())
+    }
+
     /// Forgets a session: a connection can be silent for good while new ones work.
     fn lose(&self, address: SocketAddr, error: &peer::Error) -> String {
         self.sessions.borrow_mut().remove(&address);
@@ -201,7 +215,7 @@
     ///
     /// [`Doubt`] if chunk after chunk differs from its listed digest.
     pub(crate) async fn run(&mut self) -> Result<(), Doubt> {
-        self.shelf.open(self.version, self.manifest.digests.clone());
+        self.shelf.open(self.version, self.manifest.clone());
         self.take_staged().await;
         let reports = Reports::default();
         let mut watches = Watches::default();
--- a/crates/stager/src/port.rs
+++ b/crates/stager/src/port.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use domain::{digest::Digest, name};
 use futures::future::LocalBoxFuture;
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
 /// A call got no good answer.
@@ -51,7 +52,7 @@
 }
 
 /// A version's chunks as the origin lists them. Nothing vouches for the list but the origin.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Manifest {
     /// The version.
     pub version: u64,
--- a/crates/stager/src/share.rs
+++ b/crates/stager/src/share.rs
@@ -8,6 +8,7 @@
 use peer::{
     chunks::{Fetched, Holdings, Service},
     control::Answer,
+    pack,
 };
 use tokio::time;
 
@@ -20,6 +21,8 @@
 const MAX_BACKLOG: Duration = Duration::from_millis(100);
 /// How long a less urgent question waits, so that more urgent ones for the same chunk go first.
 const YIELD: Duration = Duration::from_millis(5);
+/// How long a question for a list waits for it: less than a step of a session may take.
+pub(crate) const LIST_WAIT: Duration = Duration::from_millis(300);
 /// When to ask a busy agent again.
 const BUSY_RETRY: Duration = Duration::from_millis(60);
 
@@ -65,7 +68,16 @@
         .boxed_local()
     }
 
-    fn manifest(&self, _: Digest) -> Answer<Option<Bytes>> {
-        async move { Ok(None) }.boxed_local()
+    /// The list of a version's chunks; an agent that reads it from the origin may have it soon.
+    fn manifest(&self, version: Digest) -> Answer<Option<Bytes>> {
+        let shelf = self.shelf.clone();
+        async move {
+            let manifest = shelf.manifest(&version, LIST_WAIT).await;
+            let bytes = manifest
+                .map(|manifest| pack::encode(&manifest))
+                .transpose()?;
+            Ok(bytes.map(Bytes::from))
+        }
+        .boxed_local()
     }
 }
--- a/crates/stager/src/shelf.rs
+++ b/crates/stager/src/shelf.rs
@@ -6,6 +6,8 @@
 use domain::digest::Digest;
 use tokio::{sync::Notify, time};
 
+use crate::port::Manifest;
+
 /// Which chunks of a version are held.
 pub(crate) struct Held {
     /// How many.
@@ -18,7 +20,7 @@
 #[derive(Default)]
 pub(crate) struct Shelf {
     chunks: RefCell<HashMap<Digest, Bytes>>,
-    versions: RefCell<HashMap<Digest, Vec<Digest>>>,
+    versions: RefCell<HashMap<Digest, Manifest>>,
     added: Notify,
 }
 
@@ -34,26 +36,37 @@
         self.added.notify_waiters();
     }
 
-    /// Makes a version known under a key, by the digests of its chunks.
-    pub(crate) fn open(&self, version: Digest, digests: Vec<Digest>) {
-        self.versions.borrow_mut().insert(version, digests);
+    /// Makes a version known under a key, by the list of its chunks.
+    pub(crate) fn open(&self, version: Digest, manifest: Manifest) {
+        self.versions.borrow_mut().insert(version, manifest);
         self.added.notify_waiters();
     }
 
+    /// Forgets the list of a version.
+    pub(crate) fn forget(&self, version: &Digest) {
+        self.versions.borrow_mut().remove(version);
+    }
+
+    /// The list of a version's chunks, as soon as it is known, or nothing after `limit`.
+    pub(crate) async fn manifest(&self, version: &Digest, limit: Duration) -> Option<Manifest> {
+        self.wait(version, 0, limit).await?;
+        self.versions.borrow().get(version).cloned()
+    }
+
     /// Drops every version but the given one, and the chunks that it does not have.
     pub(crate) fn keep(&self, version: &Digest) {
         let mut versions = self.versions.borrow_mut();
         versions.retain(|other, _| other == version);
-        let kept = versions.get(version).cloned().unwrap_or_default();
+        let kept = versions.get(version).map(|manifest| &manifest.digests);
         self.chunks
             .borrow_mut()
-            .retain(|digest, _| kept.contains(digest));
+            .retain(|digest, _| kept.is_some_and(|kept| kept.contains(digest)));
     }
 
     /// What is held of a version, or nothing if it is not known.
     pub(crate) fn held(&self, version: &Digest) -> Option<Held> {
         let versions = self.versions.borrow();
-        let digests = versions.get(version)?;
+        let digests = &versions.get(version)?.digests;
         let chunks = self.chunks.borrow();
         let mut bitmap = vec![0; digests.len().div_ceil(8)];
         let mut count = 0;
--- a/crates/stager/src/stager.rs
+++ b/crates/stager/src/stager.rs
@@ -1,7 +1,12 @@
 //! The agent itself: for each model the engine should serve the newest named version.
 
 use std::{
-    cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
 };
 
 use domain::{
@@ -12,7 +17,13 @@
     vm::{Holding, Lifecycle, Status, Upstream, Vm},
 };
 use peer::{chunks, connection::Dialer, uplink::Feed};
-use policy::{owner::Member, spread::Spread, switch, view::View};
+use policy::{
+    listing::{self, Listing},
+    owner::Member,
+    spread::Spread,
+    switch,
+    view::View,
+};
 use slog::{Logger, info, warn};
 use tokio::{sync::watch, time};
 
@@ -30,6 +41,9 @@
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
 /// The pause after something failed that must be tried again.
 const RETRY: Duration = Duration::from_millis(200);
+/// The pause before another agent is asked for a list. An agent that will have it holds the question
+/// meanwhile.
+const LIST_RETRY: Duration = Duration::from_millis(20);
 /// How long entries get to learn that the engine moves before it does: a feed's gathering time,
 /// twice, and a link between regions.
 const NOTICE: Duration = Duration::from_millis(120);
@@ -78,6 +92,8 @@
     started_at: Instant,
     /// When each version was first seen; nothing for those that were there before the agent.
     named: RefCell<HashMap<(name::Artifact, u64), Option<Instant>>>,
+    /// The version whose list was found to be wrong.
+    doubted: Cell<Option<Digest>>,
 }
 
 /// What a model's engine should do next.
@@ -97,6 +113,7 @@
             shelf: Rc::default(),
             link: Rc::new(Link::new(given.link_bytes_per_s, given.clock.clone())),
             named: RefCell::default(),
+            doubted: Cell::default(),
             started_at,
             given,
         })
@@ -214,6 +231,8 @@
                 Err(_) => {
                     warn!(self.given.logger, "weights: the list of chunks is doubtful";
                         "model" => task.model.as_str(), "version" => task.version);
+                    self.doubted.set(Some(key(task)));
+                    self.shelf.forget(&key(task));
                     return time::sleep(RETRY).await;
                 }
             },
@@ -241,17 +260,44 @@
             "version" => task.version);
     }
 
+    /// The list of the version's chunks, from the origin or from an agent that has it.
     async fn manifest(&self, task: &Task, origin: &Rc<dyn Origin>) -> Option<Manifest> {
+        let version = key(task);
+        let roster = self.roster();
+        let is_doubted = self.doubted.get() == Some(version);
+        let members: Vec<_> = match is_doubted {
+            // The other agents may have the same list.
+            true => Vec::new(),
+            false => roster.iter().map(|(member, _)| member.clone()).collect(),
+        };
+        let now = self.given.clock.now();
+        let mut listing = Listing::new(&self.given.me, &members, &version, now);
         loop {
-            match origin.manifest(&task.model, task.version).await {
-                Ok(manifest) if manifest.version == task.version => return Some(manifest),
-                Ok(manifest) => warn!(self.given.logger, "weights: list of another version";
-                    "wanted" => task.version, "got" => manifest.version),
-                Err(error) => warn!(self.given.logger, "weights: no list of chunks";
-                    "model" => task.model.as_str(), "version" => task.version,
-                    "reason" => %error),
-            }
-            time::sleep(RETRY).await;
+            let source = listing.next_source(self.given.clock.now());
+            let asked = match &source {
+                listing::Source::Origin => origin
+                    .manifest(&task.model, task.version)
+                    .await
+                    .map(Some)
+                    .map_err(|error| error.to_string()),
+                listing::Source::Agent(vm) => match address_of(&roster, vm) {
+                    Some(address) => self.peers.manifest(address, version).await,
+                    None => Ok(None),
+                },
+            };
+            let reason = match asked {
+                Ok(Some(manifest)) if manifest.version == task.version => return Some(manifest),
+                Ok(Some(manifest)) => format!("it is of version {}", manifest.version),
+                Ok(None) => "the agent has none".to_owned(),
+                Err(reason) => reason,
+            };
+            info!(self.given.logger, "weights: no list of chunks"; "model" => task.model.as_str(),
+                "version" => task.version, "source" => %source, "reason" => reason);
+            let pause = match source {
+                listing::Source::Origin => RETRY,
+                listing::Source::Agent(_) => LIST_RETRY,
+            };
+            time::sleep(pause).await;
             if !self.is_current(task) {
                 return None;
             }
@@ -378,6 +424,11 @@
     Digest::of(format!("{}@{}", task.model, task.version).as_bytes())
 }
 
+fn address_of(roster: &Roster, vm: &name::Vm) -> Option<SocketAddr> {
+    let known = roster.iter().find(|(member, _)| member.vm == *vm);
+    known.map(|(_, address)| *address)
+}
+
 /// The agents beside engines that are known.
 fn agents(view: &View) -> Roster {
     view.vms
