Use the library's test for multiples in a test

Cause: the linter refuses `% 3 == 0`.

Ruled out: nothing else was reported by that run, but the linter had not seen all packages.

--- a/crates/policy/tests/spread.rs
+++ b/crates/policy/tests/spread.rs
@@ -536,7 +536,7 @@
 #[test]
 fn joining_agents_with_slow_first_answers_leave_the_origin_alone() {
     let members = members(3, 20);
-    let joined = |place: usize| place % 3 == 0;
+    let joined = |place: usize| place.is_multiple_of(3);
     let mut world = World::new(members.clone());
     world.first_answer = Duration::from_millis(700);
     for (place, me) in members.iter().enumerate() {
