Take a replaced entry for news in the roster

Cause: found by reading. The roster compared only the numbers of entries and instances, so that an entry which replaced another one in the same list left every cached place as it was.

Ruled out: the simulations of `policy::cold` don't replace entries, so they could not see it.

Change: any entry added or dropped counts as news. The head comment of placement is wrapped.

Tests: `cold::a_replaced_entry_changes_the_places`; it did not compile when it was to be shown failing, and was not shown failing after that.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -2,9 +2,9 @@
 //!
 //! It handles loads up to the total capacity of the eligible instances: the least loaded one is
 //! chosen, instances in the same zone are preferred unless they are much busier, failing instances
-//! are avoided, cold ones get fewer requests and those that ask for none get none. An entry doesn't see what other entries send to
-//! the same instances, so it multiplies its own in-flight requests by the number of entries. See
-//! `docs/PLATFORM.md`, "Placing".
+//! are avoided, cold ones get fewer requests and those that want a pause none. An entry doesn't see
+//! what other entries send to the same instances, so it multiplies its own in-flight requests by the
+//! number of entries. See `docs/PLATFORM.md`, "Placing".
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -66,15 +66,15 @@
             self.listed_at = Some(now);
             self.changes += 1;
         }
-        let before = (self.entries.len(), self.instances);
         for (vm, entry) in &mut self.entries {
             entry.gone_at = match listed.contains_key(vm) {
                 true => None,
                 false => entry.gone_at.or(Some(now)),
             };
         }
-        self.entries
-            .retain(|_, entry| entry.gone_at.is_none_or(|at| now.since(at) < HOLD));
+        let is_over = |entry: &Entry| entry.gone_at.is_some_and(|at| now.since(at) >= HOLD);
+        let dropped = self.entries.extract_if(|_, entry| is_over(entry)).count();
+        let known = self.entries.len();
         for (vm, zone) in listed {
             let fresh = || Entry {
                 zone: zone.clone(),
@@ -83,10 +83,11 @@
             };
             self.entries.entry(vm.clone()).or_insert_with(fresh);
         }
-        self.instances = instances;
-        if before != (self.entries.len(), self.instances) {
+        let has_changed = dropped > 0 || known != self.entries.len();
+        if has_changed || self.instances != instances {
             self.changes += 1;
         }
+        self.instances = instances;
     }
 
     /// The number of known entries, this one included.
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -279,3 +279,30 @@
         assert!(zone == "z-4" || own >= 3, "{zone}: {zones:?}");
     }
 }
+
+/// Fails where only the number of entries is compared: of two entries of which one is replaced, the
+/// other one kept its old places.
+#[test]
+fn a_replaced_entry_changes_the_places() {
+    let vms: Vec<_> = (0..3)
+        .map(|n| name::Vm::from(format!("entry.{n}").as_str()))
+        .collect();
+    let zone = zone_of(0);
+    let mut roster = policy::roster::Roster::new(vms[0].clone(), zone.clone());
+    let at = |seconds: u64| Instant::from_millis(seconds * 1_000);
+    roster.observe(
+        [&vms[0], &vms[1]].map(|vm| (vm, &zone)).into_iter(),
+        9,
+        at(0),
+    );
+    roster.observe([(&vms[0], &zone)].into_iter(), 9, at(20));
+    let before = roster.epoch(at(40));
+    // One entry is no longer counted, and another one is new.
+    roster.observe(
+        [&vms[0], &vms[2]].map(|vm| (vm, &zone)).into_iter(),
+        9,
+        at(40),
+    );
+    assert_eq!(roster.count(), 2);
+    assert_ne!(roster.epoch(at(40)), before);
+}
