--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -148,7 +148,12 @@
         };
         self.applied.replace(index);
         self.entries.apply(applied.deltas.iter().cloned());
-        self.agents.apply(applied.deltas);
+        let for_agents = |delta: &Delta| match delta {
+            Delta::Set(record) => is_for_agents(record),
+            Delta::Remove(_) => true,
+        };
+        self.agents
+            .apply(applied.deltas.into_iter().filter(for_agents));
         if is_rerouted {
             let records = self.routing_records();
             self.replace(records, is_routing);
@@ -247,6 +252,7 @@
             Command::Advance { .. } => "advance",
             Command::Registry(_) => "registry",
             Command::Expire { .. } => "expire",
+            Command::Quarantine { .. } => "quarantine",
         };
         let log = self.log().ok_or(log::Error::NotFormed)?;
         let begin = self.clock.now();
@@ -340,7 +346,10 @@
     )
 }
 
-/// Agents choose no routes and know no callers.
+/// Agents choose no routes, know no callers and read no prompts.
 fn is_for_agents(record: &Record) -> bool {
-    !matches!(record, Record::Route(_) | Record::Caller(_))
+    !matches!(
+        record,
+        Record::Route(_) | Record::Caller(_) | Record::Suspect(_)
+    )
 }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -4,7 +4,7 @@
 
 use domain::{
     command::{Command, Reply},
-    ledger, name,
+    ledger, name, quarantine,
     record::Batch,
     vm::{Announcement, Lifecycle, Status},
 };
@@ -96,6 +96,20 @@
         }
         .boxed_local()
     }
+
+    fn quarantine(&self, write: quarantine::Write) -> Answer<quarantine::Reply> {
+        let core = self.core.clone();
+        async move {
+            info!(core.logger, "quarantine: evidence"; "write" => ?write);
+            let at_ms = core.clock.wall_ms();
+            match core.submit(Command::Quarantine { write, at_ms }).await {
+                Ok(Reply::Quarantine(reply)) => Ok(reply),
+                Ok(reply) => Err(failed(format!("a quarantine write got {reply:?}"))),
+                Err(error) => Err(failed(error.to_string())),
+            }
+        }
+        .boxed_local()
+    }
 }
 
 fn announce(core: &Core, announcement: Announcement, status: Status) -> capnp::Result<()> {
--- a/crates/domain/src/command.rs
+++ b/crates/domain/src/command.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{artifact, edit, instance, ledger, rollout::Stage, violation::Violation};
+use crate::{artifact, edit, instance, ledger, quarantine, rollout::Stage, violation::Violation};
 
 /// A command of the replicated log. All replicas apply the same commands in the same order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,6 +46,13 @@
         /// Milliseconds since the Unix epoch.
         before_ms: u64,
     },
+    /// Evidence of parts of prompts that crash instances.
+    Quarantine {
+        /// The write.
+        write: quarantine::Write,
+        /// When the replica took it, in milliseconds since the Unix epoch.
+        at_ms: u64,
+    },
 }
 
 /// The reply to a command, the same on every replica.
@@ -55,6 +62,8 @@
     Edit(edit::Outcome),
     /// The reply to a ledger write.
     Ledger(ledger::Reply),
+    /// The reply to a write to the quarantine.
+    Quarantine(quarantine::Reply),
     /// The reply to all other commands.
     Done,
 }
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod manifest;
 pub mod name;
 pub mod order;
+pub mod quarantine;
 pub mod record;
 pub mod replica;
 pub mod rollout;
--- a/crates/domain/src/name.rs
+++ b/crates/domain/src/name.rs
@@ -61,6 +61,8 @@
     Service;
     /// A route, which matches requests for one host and path prefix.
     Route;
+    /// A part of a prompt, which several requests may share.
+    Part;
     /// An upstream process that registered itself. A restarted process may use the same name again.
     Instance;
 }
--- a/crates/domain/src/record.rs
+++ b/crates/domain/src/record.rs
@@ -5,7 +5,9 @@
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
 
-use crate::{edit::Revision, instance::Instance, lists, name, rollout::Rollout, routing, vm::Vm};
+use crate::{
+    edit::Revision, instance::Instance, lists, name, quarantine, rollout::Rollout, routing, vm::Vm,
+};
 
 /// The current value of a record.
 #[derive(Clone, Debug, From, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,6 +36,8 @@
     Instance(Box<Instance>),
     /// The version that a model's engines should serve.
     Target(Target),
+    /// A part of prompts that may crash instances.
+    Suspect(quarantine::Suspect),
 }
 
 /// The parts of the routing in force that have no records of their own.
@@ -95,6 +99,9 @@
     /// See [`Record::Target`].
     #[display("target/{_0}")]
     Target(name::Artifact),
+    /// See [`Record::Suspect`].
+    #[display("suspect/{_0}")]
+    Suspect(quarantine::Key),
 }
 
 impl Record {
@@ -113,6 +120,7 @@
             Self::Caller(caller) => Key::Caller(caller.name.clone()),
             Self::Instance(instance) => Key::Instance(instance.id.clone()),
             Self::Target(target) => Key::Target(target.model.clone()),
+            Self::Suspect(suspect) => Key::Suspect(suspect.key.clone()),
         }
     }
 }
--- a/crates/entry/tests/daemon.rs
+++ b/crates/entry/tests/daemon.rs
@@ -22,7 +22,7 @@
     until,
 };
 use domain::{
-    ledger, name,
+    ledger, name, quarantine,
     record::{Batch, Cursor, Delta, Record},
     vm,
 };
@@ -79,6 +79,10 @@
         let reply = self.0.write(write);
         Box::pin(async move { Ok(reply) })
     }
+
+    fn quarantine(&self, _: quarantine::Write) -> Answer<quarantine::Reply> {
+        Box::pin(std::future::pending())
+    }
 }
 
 fn deltas(view: &View) -> Vec<Delta> {
--- a/crates/peer/schema/wire.capnp
+++ b/crates/peer/schema/wire.capnp
@@ -37,6 +37,7 @@
   heartbeat @2 (vm :Text, incarnation :UInt64) -> (isKnown :Bool);
   leave @3 (vm :Text, incarnation :UInt64) -> ();
   ledger @4 (writePack :Data) -> (replyPack :Data);   # ledger::Write, ledger::Reply
+  quarantine @5 (writePack :Data) -> (replyPack :Data);   # quarantine::Write, quarantine::Reply
 }
 
 interface Replica {
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use domain::{edit::Revision, ledger, name, record, vm};
+use domain::{edit::Revision, ledger, name, quarantine, record, vm};
 use futures::future::LocalBoxFuture;
 
 use crate::{
@@ -47,6 +47,8 @@
     fn leave(&self, vm: name::Vm, incarnation: u64) -> Answer<()>;
     /// Writes to the ledger.
     fn ledger(&self, write: ledger::Write) -> Answer<ledger::Reply>;
+    /// Writes to the quarantine.
+    fn quarantine(&self, write: quarantine::Write) -> Answer<quarantine::Reply>;
 }
 
 /// Serves a [`Service`] over the wire.
@@ -131,6 +133,17 @@
         results.get().set_reply_pack(&pack::encode(&reply)?);
         Ok(())
     }
+
+    async fn quarantine(
+        self: Rc<Self>,
+        params: control::QuarantineParams,
+        mut results: control::QuarantineResults,
+    ) -> capnp::Result<()> {
+        let write = pack::decode(params.get()?.get_write_pack()?)?;
+        let reply = self.service.quarantine(write).await?;
+        results.get().set_reply_pack(&pack::encode(&reply)?);
+        Ok(())
+    }
 }
 
 /// A session with control, bound to one connection and one thread.
@@ -226,6 +239,18 @@
             .call(Step::Call("ledger"), Duration::ZERO, answer)
             .await
     }
+
+    /// See [`Service::quarantine`].
+    pub async fn quarantine(&self, write: &quarantine::Write) -> Result<quarantine::Reply, Error> {
+        let answer = async {
+            let mut request = self.control.quarantine_request();
+            request.get().set_write_pack(&pack::encode(write)?);
+            pack::decode(request.send().promise.await?.get()?.get_reply_pack()?)
+        };
+        self.connection
+            .call(Step::Call("quarantine"), Duration::ZERO, answer)
+            .await
+    }
 }
 
 pub(crate) fn read_cursor(reader: cursor::Reader<'_>) -> record::Cursor {
--- a/crates/peer/src/uplink.rs
+++ b/crates/peer/src/uplink.rs
@@ -11,7 +11,7 @@
 use domain::{
     clock::{Clock, Instant},
     digest::Digest,
-    ledger, name, vm,
+    ledger, name, quarantine, vm,
 };
 use policy::{age::Bound, view::View};
 use slog::{Logger, info, warn};
@@ -85,10 +85,15 @@
     writes: mpsc::Sender<Write>,
 }
 
+/// A write that waits for its reply.
 struct Write {
-    write: ledger::Write,
     deadline: Duration,
-    reply: oneshot::Sender<Result<ledger::Reply, Error>>,
+    body: Body,
+}
+
+enum Body {
+    Ledger(ledger::Write, oneshot::Sender<ledger::Reply>),
+    Quarantine(quarantine::Write, oneshot::Sender<quarantine::Reply>),
 }
 
 impl Client {
@@ -153,25 +158,46 @@
         write: ledger::Write,
         deadline: Duration,
     ) -> Result<ledger::Reply, Error> {
+        self.send("ledger", deadline, |reply| Body::Ledger(write, reply))
+            .await
+    }
+
+    /// Writes to the quarantine through any replica, and tries again until the deadline.
+    ///
+    /// A write may take effect twice, which changes nothing but the number of probes.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] if no replica answered in time. The write may still take effect.
+    pub async fn quarantine(
+        &self,
+        write: quarantine::Write,
+        deadline: Duration,
+    ) -> Result<quarantine::Reply, Error> {
+        self.send("quarantine", deadline, |reply| {
+            Body::Quarantine(write, reply)
+        })
+        .await
+    }
+
+    async fn send<T>(
+        &self,
+        name: &'static str,
+        deadline: Duration,
+        body: impl FnOnce(oneshot::Sender<T>) -> Body,
+    ) -> Result<T, Error> {
         let (reply, answer) = oneshot::channel();
-        let unreachable = || Error::Unreachable {
-            step: Step::Call("ledger"),
-            millis: u64::try_from(deadline.as_millis()).unwrap_or(u64::MAX),
-        };
+        let body = body(reply);
         let exchange = async {
-            self.writes
-                .send(Write {
-                    write,
-                    deadline,
-                    reply,
-                })
-                .await
-                .ok()?;
+            self.writes.send(Write { deadline, body }).await.ok()?;
             answer.await.ok()
         };
         match time::timeout(deadline, exchange).await {
-            Ok(Some(answer)) => answer,
-            Ok(None) | Err(_) => Err(unreachable()),
+            Ok(Some(answer)) => Ok(answer),
+            Ok(None) | Err(_) => Err(Error::Unreachable {
+                step: Step::Call(name),
+                millis: u64::try_from(deadline.as_millis()).unwrap_or(u64::MAX),
+            }),
         }
     }
 }
@@ -319,28 +345,43 @@
             let link = self.clone();
             let shared = shared.clone();
             tokio::task::spawn_local(async move {
-                let attempt = link.write_one(&write.write, &shared);
-                if let Ok(answer) = time::timeout(write.deadline, attempt).await {
-                    // A receiver that is gone has passed its own deadline.
-                    let _ = write.reply.send(Ok(answer));
-                }
+                let delivered = link.deliver(write.body, &shared);
+                // The sender knows by the same deadline that no reply came.
+                let _ = time::timeout(write.deadline, delivered).await;
             });
         }
     }
 
-    async fn write_one(
+    /// Passes a write on until a replica replies. A receiver that is gone has passed its own
+    /// deadline.
+    async fn deliver(&self, body: Body, shared: &tokio::sync::Mutex<Option<Rc<Session>>>) {
+        match body {
+            Body::Ledger(write, reply) => {
+                let call = async |session: Rc<Session>| session.ledger(&write).await;
+                let _ = reply.send(self.repeat(shared, call).await);
+            }
+            Body::Quarantine(write, reply) => {
+                let call = async |session: Rc<Session>| session.quarantine(&write).await;
+                let _ = reply.send(self.repeat(shared, call).await);
+            }
+        }
+    }
+
+    async fn repeat<T>(
         &self,
-        write: &ledger::Write,
         shared: &tokio::sync::Mutex<Option<Rc<Session>>>,
-    ) -> ledger::Reply {
+        call: impl AsyncFn(Rc<Session>) -> Result<T, Error>,
+    ) -> T {
         let mut pause = Pause::new();
         loop {
-            let session = self.session(shared).await;
-            if let Some(session) = session {
-                match session.ledger(write).await {
+            if let Some(session) = self.session(shared).await {
+                match call(session.clone()).await {
                     Ok(reply) => return reply,
-                    Err(_) => {
-                        self.fail(session.connection().peer());
+                    Err(error) => {
+                        let replica = session.connection().peer();
+                        warn!(self.config.logger, "control: write failed";
+                            "replica" => %replica, "reason" => %error);
+                        self.fail(replica);
                         discard(shared, &session).await;
                     }
                 }
--- a/crates/peer/src/wire_capnp.rs
+++ b/crates/peer/src/wire_capnp.rs
@@ -2029,6 +2029,8 @@
     pub type LeaveResults<> = ::capnp::capability::Results<crate::wire_capnp::control::leave_results::Owned>;
     pub type LedgerParams<> = ::capnp::capability::Params<crate::wire_capnp::control::ledger_params::Owned>;
     pub type LedgerResults<> = ::capnp::capability::Results<crate::wire_capnp::control::ledger_results::Owned>;
+    pub type QuarantineParams<> = ::capnp::capability::Params<crate::wire_capnp::control::quarantine_params::Owned>;
+    pub type QuarantineResults<> = ::capnp::capability::Results<crate::wire_capnp::control::quarantine_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -2093,6 +2095,9 @@
         pub fn ledger_request(&self) -> ::capnp::capability::Request<crate::wire_capnp::control::ledger_params::Owned,crate::wire_capnp::control::ledger_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn quarantine_request(&self) -> ::capnp::capability::Request<crate::wire_capnp::control::quarantine_params::Owned,crate::wire_capnp::control::quarantine_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn poll(self: ::capnp::capability::Rc<Self>, _: PollParams<>, _: PollResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::poll not implemented".to_string()))) }
@@ -2100,6 +2105,7 @@
         fn heartbeat(self: ::capnp::capability::Rc<Self>, _: HeartbeatParams<>, _: HeartbeatResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::heartbeat not implemented".to_string()))) }
         fn leave(self: ::capnp::capability::Rc<Self>, _: LeaveParams<>, _: LeaveResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::leave not implemented".to_string()))) }
         fn ledger(self: ::capnp::capability::Rc<Self>, _: LedgerParams<>, _: LedgerResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::ledger not implemented".to_string()))) }
+        fn quarantine(self: ::capnp::capability::Rc<Self>, _: QuarantineParams<>, _: QuarantineResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::quarantine not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -2134,6 +2140,7 @@
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::heartbeat(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::leave(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::ledger(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::quarantine(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -4285,6 +4292,424 @@
             pub(crate) const TYPE_ID: u64 = 0x8230_0342_2dd1_4839;
         }
     }
+
+    pub mod quarantine_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_write_pack(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_write_pack(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_write_pack(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_write_pack(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_write_pack(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_write_pack(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(184, 232, 203, 34, 194, 255, 222, 243),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 105, 114, 101, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 67, 111, 110, 116, 114),
+                ::capnp::word(111, 108, 46, 113, 117, 97, 114, 97),
+                ::capnp::word(110, 116, 105, 110, 101, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(119, 114, 105, 116, 101, 80, 97, 99),
+                ::capnp::word(107, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xf3de_ffc2_22cb_e8b8;
+        }
+    }
+
+    pub mod quarantine_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_reply_pack(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_reply_pack(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_reply_pack(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_reply_pack(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_reply_pack(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_reply_pack(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(215, 43, 186, 136, 87, 19, 22, 131),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 105, 114, 101, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 67, 111, 110, 116, 114),
+                ::capnp::word(111, 108, 46, 113, 117, 97, 114, 97),
+                ::capnp::word(110, 116, 105, 110, 101, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 112, 108, 121, 80, 97, 99),
+                ::capnp::word(107, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x8316_1357_88ba_2bd7;
+        }
+    }
 }
 
 
--- a/crates/peer/tests/presence.rs
+++ b/crates/peer/tests/presence.rs
@@ -7,6 +7,7 @@
     clock::{Clock, Instant},
     ledger, name,
     order::Fence,
+    quarantine,
     record::Batch,
     vm::{Announcement, Lifecycle, Status, Upstream, Vm},
 };
@@ -78,6 +79,10 @@
     fn ledger(&self, _: ledger::Write) -> Answer<ledger::Reply> {
         std::future::pending().boxed_local()
     }
+
+    fn quarantine(&self, _: quarantine::Write) -> Answer<quarantine::Reply> {
+        std::future::pending().boxed_local()
+    }
 }
 
 fn vm(limit: u32) -> Option<Arc<Vm>> {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -27,7 +27,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{ledger::Ledger, registry::Registry};
+use crate::{ledger::Ledger, quarantine, registry::Registry};
 
 /// The maximum by which one command moves the expiry horizon, in milliseconds. It keeps a leader
 /// whose clock jumps ahead from expiring everything at once: the clock has to stay ahead for hours
@@ -70,6 +70,8 @@
     targets: BTreeMap<name::Artifact, u64>,
     #[serde(default)]
     registry: Registry,
+    #[serde(default)]
+    quarantine: quarantine::Table,
     answers: BTreeMap<Arc<str>, Decision>,
     history: VecDeque<Event>,
     /// The latest time of any command, in milliseconds since the Unix epoch.
@@ -130,6 +132,11 @@
         &self.registry
     }
 
+    /// The parts of prompts that may crash instances.
+    pub fn quarantine(&self) -> &quarantine::Table {
+        &self.quarantine
+    }
+
     /// Accepted edits, the newest last.
     pub fn history(&self) -> impl DoubleEndedIterator<Item = &Event> {
         self.history.iter()
@@ -193,6 +200,13 @@
                 reply: Reply::Done,
                 deltas: self.registry.apply(write),
             },
+            Command::Quarantine { write, at_ms } => {
+                let (reply, deltas) = self.quarantine.apply(write, at_ms);
+                Applied {
+                    reply: Reply::Quarantine(reply),
+                    deltas,
+                }
+            }
             Command::Expire { before_ms } => {
                 self.expire(before_ms);
                 Applied {
--- a/crates/policy/src/state/diff.rs
+++ b/crates/policy/src/state/diff.rs
@@ -27,6 +27,7 @@
                 .cloned()
                 .map(|instance| Record::Instance(Box::new(instance))),
         )
+        .chain(state.quarantine.records())
         .collect()
 }
 
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -11,6 +11,7 @@
     edit::Revision,
     instance::Instance,
     lists, name,
+    quarantine::{self, Suspect},
     record::{Batch, Cursor, Delta, Key, Record, Routing},
     rollout::{Rollout, Stage},
     routing,
@@ -50,6 +51,8 @@
     pub instances: BTreeMap<name::Instance, Arc<Instance>>,
     /// The version that each model's engines should serve.
     pub targets: BTreeMap<name::Artifact, u64>,
+    /// Parts of prompts that may crash instances.
+    pub suspects: BTreeMap<quarantine::Key, Suspect>,
     callers: BTreeMap<name::Customer, Arc<routing::Caller>>,
     caller_keys: HashMap<Digest, name::Customer>,
     keys: HashMap<Digest, name::Customer>,
@@ -157,6 +160,9 @@
             Record::Target(target) => {
                 self.targets.insert(target.model, target.version);
             }
+            Record::Suspect(suspect) => {
+                self.suspects.insert(suspect.key.clone(), suspect);
+            }
         }
     }
 
@@ -215,6 +221,9 @@
             Key::Target(model) => {
                 self.targets.remove(model);
             }
+            Key::Suspect(key) => {
+                self.suspects.remove(key);
+            }
         }
     }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -59,6 +59,8 @@
     Refused(StatusCode),
     /// The request was sent, and what became of it is unknown.
     Lost(String),
+    /// The same, because the connection broke.
+    Broken(String),
 }
 
 /// Removes headers that concern one connection only.
@@ -159,7 +161,7 @@
                 return Box::pin(deliver(site, outgoing, choice, connection, request)).await;
             }
             Some(_) => return Outcome::NotSent("the connection closed at once".to_owned()),
-            None => return Outcome::Lost(describe(&failure.into_error())),
+            None => return Outcome::Broken(describe(&failure.into_error())),
         },
     };
     let (head, body) = response.into_parts();
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -90,6 +90,7 @@
     let ask = site.dialect.ask(&head);
     let id = ask.id.as_deref().map(Rc::from);
     let mut trace = Trace::new(site.clone(), id);
+    trace.parts = ask.parts.clone();
     let limit = site.limits().body_bytes;
     let body = match read(body, limit).await {
         Ok(body) => body,
@@ -321,7 +322,7 @@
     async fn attempt(&mut self, choice: &Choice) -> Result<Begun, Tried> {
         let site = self.site.clone();
         let feed = site.feed();
-        let turn = site.begin(&feed.view, choice, self.outgoing.ask.prompt_tokens);
+        let turn = site.begin(&feed.view, choice, &self.outgoing.ask);
         self.tried.push(choice.instance.id.clone());
         let sent_at = site.now();
         let is_cold = site.place(|placer| placer.is_cold(&choice.instance, sent_at));
@@ -452,6 +453,10 @@
             ))));
         }
         Outcome::Lost(reason) => return Err(unknown(reason)),
+        Outcome::Broken(reason) => {
+            turn.lose();
+            return Err(unknown(reason));
+        }
     };
     let left = outgoing.deadline.since(site.now());
     if outgoing.kind.is_stream() && answered.head.status.is_success() {
@@ -459,11 +464,14 @@
         let first = time::timeout(left, reader.events(&mut answered.body)).await;
         return match first {
             Ok(Ok(Some(first))) => {
-                turn.first_event();
+                turn.progress();
                 Ok(Begun::Stream(answered, turn, reader, first))
             }
             Ok(Ok(None)) => Ok(Begun::Stream(answered, turn, reader, Bytes::new())),
-            Ok(Err(reason)) => Err(unknown(reason)),
+            Ok(Err(reason)) => {
+                turn.lose();
+                Err(unknown(reason))
+            }
             Err(_) => Err(unknown("no event until the deadline".to_owned())),
         };
     }
@@ -475,14 +483,20 @@
     } = *answered;
     let bytes = match time::timeout(left, whole::read(&site.kept, body)).await {
         Ok(Ok(bytes)) => bytes,
-        Ok(Err(reason)) => return Err(unknown(reason)),
+        Ok(Err(reason)) => {
+            turn.lose();
+            return Err(unknown(reason));
+        }
         Err(_) => return Err(unknown("no whole answer until the deadline".to_owned())),
     };
     let lifetime = pool::lifetime(&head.headers);
     site.keep(&choice.instance, connection, outgoing.kind, lifetime);
     match head.status.is_server_error() {
         true => Err(Tried::Bad(Bad::Own(head, bytes))),
-        false => Ok(Begun::Whole(head, bytes)),
+        false => {
+            turn.finish();
+            Ok(Begun::Whole(head, bytes))
+        }
     }
 }
 
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -1,6 +1,6 @@
 //! One log line for each request that ends, within a budget.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use domain::{clock::Instant, name};
 use slog::{Logger, info, warn};
@@ -71,6 +71,8 @@
     pub basis: Option<(u64, u64)>,
     /// How long the caller had waited already when it asked: after a refusal it comes back.
     pub waited: Duration,
+    /// The parts of the prompt that other requests may share.
+    pub parts: Arc<[name::Part]>,
     /// Each instance that was tried, with what came of it.
     pub steps: Vec<String>,
     /// When the first byte of the answer came.
@@ -90,6 +92,7 @@
             customer: None,
             basis: None,
             waited: Duration::ZERO,
+            parts: Arc::default(),
             steps: Vec::new(),
             first_at: None,
             end: None,
@@ -123,6 +126,7 @@
             "customer" => self.customer.as_ref().map(ToString::to_string),
             "routing" => routing, "age_ms" => age_ms,
             "waited_ms" => self.waited.as_millis() as u64,
+            "parts" => join(&self.parts),
             "steps" => self.steps.join("; "),
             "first_ms" => first_ms, "took_ms" => took_ms,
             "status" => status, "omitted" => omitted,
@@ -135,6 +139,12 @@
     }
 }
 
+/// Parts of a prompt as one word.
+pub(crate) fn join(parts: &[name::Part]) -> String {
+    let parts: Vec<_> = parts.iter().map(name::Part::as_str).collect();
+    parts.join(",")
+}
+
 impl Drop for Trace {
     fn drop(&mut self) {
         let took = self.site.now().since(self.begun_at);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod site;
 mod stream;
 pub mod whole;
+pub mod witness;
--- a/crates/relay/src/meters.rs
+++ b/crates/relay/src/meters.rs
@@ -16,6 +16,7 @@
     total_seconds: Histogram<f64>,
     attempts: Counter<u64>,
     notices: Counter<u64>,
+    crashes: Counter<u64>,
     running: Gauge<u64>,
     age_seconds: Gauge<f64>,
     routes: Labels,
@@ -53,6 +54,10 @@
                 .u64_counter("gypsum_relay_notices")
                 .with_description("Instances that said they leave or want a pause, by service")
                 .build(),
+            crashes: meter
+                .u64_counter("gypsum_relay_crashes")
+                .with_description("Instances that crashed under requests of this entry, by service")
+                .build(),
             running: meter
                 .u64_gauge("gypsum_relay_running")
                 .with_description("Requests that are running")
@@ -101,6 +106,12 @@
         self.notices.add(1, &[service, KeyValue::new("kind", kind)]);
     }
 
+    /// Counts an instance that crashed.
+    pub fn crashed(&self, service: &name::Service) {
+        let service = KeyValue::new("service", service.to_string());
+        self.crashes.add(1, &[service]);
+    }
+
     /// Shows how the relay stands.
     pub fn show(&self, running: u32, age: Option<Duration>) {
         self.running.record(running.into(), &[]);
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -17,6 +17,7 @@
 use opentelemetry::metrics::Meter;
 use peer::uplink::{Client, Feed};
 use policy::{
+    crash::SURVIVAL,
     notice::{Change, Notice},
     placement::{Choice, Placer},
     retry::Budget,
@@ -28,12 +29,13 @@
 use tokio::{sync::watch, time};
 
 use crate::{
-    dialect::Dialect,
+    dialect::{Ask, Dialect},
     gate::Gate,
     journal::Journal,
     meters::Meters,
     pool::{Connection, Pool},
     whole::Kept,
+    witness::{Reports, Witness},
 };
 
 /// How often readings are taken and idle connections are looked at.
@@ -76,6 +78,8 @@
     pub placer: Placer,
     /// The bounds.
     pub bounds: Bounds,
+    /// Where crashes are told.
+    pub reports: Rc<dyn Reports>,
     /// Where to log.
     pub logger: Logger,
     /// Where to count.
@@ -100,6 +104,8 @@
     pub(crate) kept: Kept,
     clock: Arc<dyn Clock>,
     state: Rc<dyn State>,
+    /// What is known of crashes.
+    pub(crate) witness: Witness,
     placer: RefCell<Placer>,
     budgets: RefCell<HashMap<name::Service, Budget>>,
     turns: RefCell<HashMap<Arc<str>, RoundRobin>>,
@@ -121,6 +127,7 @@
             kept: Kept::default(),
             clock: given.clock,
             state: given.state,
+            witness: Witness::new(given.reports),
             placer: RefCell::new(given.placer),
             budgets: RefCell::default(),
             turns: RefCell::default(),
@@ -283,14 +290,17 @@
     }
 
     /// A request is on its way to an instance until the turn is dropped.
-    pub fn begin(self: &Rc<Self>, view: &View, choice: &Choice, prompt_tokens: u32) -> Turn {
+    pub fn begin(self: &Rc<Self>, view: &View, choice: &Choice, ask: &Ask) -> Turn {
         let now = self.now();
+        let prompt_tokens = ask.prompt_tokens;
         self.place(|placer| placer.begin(view, choice, prompt_tokens, now));
         Turn {
             site: self.clone(),
-            instance: choice.instance.id.clone(),
+            instance: choice.instance.clone(),
             prompt_tokens,
-            is_read: false,
+            parts: ask.parts.clone(),
+            begun_at: None,
+            is_sound: false,
         }
     }
 
@@ -300,6 +310,7 @@
             let feed = self.feed();
             let now = self.now();
             self.place(|placer| placer.observe(&feed.view, now));
+            self.witness.observe(&self, &feed.view);
             if changes.changed().await.is_err() {
                 return;
             }
@@ -314,6 +325,7 @@
             self.patiences
                 .borrow_mut()
                 .retain(|_, patience| !patience.is_idle(now));
+            self.witness.sweep(now);
             self.pool
                 .sweep(now, |id| feed.view.instances.contains_key(id));
             self.meters.show(self.running(), feed.bound.age(now));
@@ -336,27 +348,62 @@
 pub struct Turn {
     site: Rc<Site>,
     /// The instance.
-    pub instance: name::Instance,
+    pub instance: Arc<Instance>,
     prompt_tokens: u32,
-    is_read: bool,
+    parts: Arc<[name::Part]>,
+    /// When the first sign of the answer came.
+    begun_at: Option<Instant>,
+    /// Whether the answer has shown that the prompt is sound.
+    is_sound: bool,
 }
 
 impl Turn {
-    /// The first sign of the answer came.
-    pub fn first_event(&mut self) {
-        if !std::mem::replace(&mut self.is_read, true) {
+    /// More of the answer came.
+    pub fn progress(&mut self) {
+        let now = self.site.now();
+        match self.begun_at {
+            None => {
+                self.begun_at = Some(now);
+                let (id, tokens) = (&self.instance.id, self.prompt_tokens);
+                self.site.place(|placer| placer.first_event(id, tokens));
+            }
+            Some(at) if now.since(at) >= SURVIVAL => self.acquit(),
+            Some(_) => {}
+        }
+    }
+
+    /// The whole answer came.
+    pub fn finish(&mut self) {
+        self.progress();
+        self.acquit();
+    }
+
+    /// The connection broke.
+    pub fn lose(&mut self) {
+        if !self.is_sound {
             self.site
-                .place(|placer| placer.first_event(&self.instance, self.prompt_tokens));
+                .witness
+                .lose(&self.site, &self.instance, &self.parts);
+        }
+    }
+
+    fn acquit(&mut self) {
+        if !std::mem::replace(&mut self.is_sound, true) {
+            let service = &self.instance.service;
+            self.site.witness.acquit(&self.site, service, &self.parts);
         }
     }
 }
 
 impl Drop for Turn {
     fn drop(&mut self) {
-        self.first_event();
+        let id = &self.instance.id;
         self.site.place(|placer| {
-            placer.end(&self.instance);
-            placer.release(&self.instance);
+            if self.begun_at.is_none() {
+                placer.first_event(id, self.prompt_tokens);
+            }
+            placer.end(id);
+            placer.release(id);
         });
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -175,6 +175,9 @@
                     let now = self.now();
                     self.call.site.place(|placer| placer.fail(&id, now));
                     self.call.trace.step(&id, &reason);
+                    if let Some(mut turn) = self.turn.take() {
+                        turn.lose();
+                    }
                     if let Err(refusal) = self.resume().await {
                         return self.break_off(format!("{reason}; {refusal}"));
                     }
@@ -203,7 +206,7 @@
         match time::timeout(limit, self.reader.events(&mut self.body)).await {
             Ok(Ok(Some(events))) => {
                 if let Some(turn) = &mut self.turn {
-                    turn.first_event();
+                    turn.progress();
                 }
                 Next::Events(events)
             }
@@ -233,7 +236,7 @@
         let site = self.call.site.clone();
         loop {
             let feed = site.feed();
-            let turn = site.begin(&feed.view, &choice, self.call.outgoing.ask.prompt_tokens);
+            let mut turn = site.begin(&feed.view, &choice, &self.call.outgoing.ask);
             self.call.tried.push(choice.instance.id.clone());
             let outcome = attempt::exchange(&site, &self.call.outgoing, &choice, last).await;
             let fail = || site.place(|placer| placer.fail(&choice.instance.id, site.now()));
@@ -251,6 +254,11 @@
                     fail();
                     Err(reason)
                 }
+                Outcome::Broken(reason) => {
+                    fail();
+                    turn.lose();
+                    Err(reason)
+                }
                 Outcome::Refused(status) => Err(format!("refused: {status}")),
             };
             self.call.sent += 1;
@@ -282,7 +290,9 @@
             let kind = self.call.outgoing.kind;
             site.keep(&self.choice.instance, connection, kind, self.lifetime);
         }
-        self.turn = None;
+        if let Some(mut turn) = self.turn.take() {
+            turn.finish();
+        }
         self.call.trace.end(End::Answered(200));
     }
 
--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -13,9 +13,15 @@
 use domain::{
     clock::{Clock, Instant},
     instance::{Instance, Layers, Phase},
+    name,
+    quarantine::{self, Write},
     record::{Batch, Cursor, Delta, Record, Routing},
     routing::{Engine, Kind, Limits, Route, Service, Share},
 };
+use futures::{
+    FutureExt,
+    future::{self, LocalBoxFuture},
+};
 use http::{HeaderMap, HeaderValue, request, response};
 use opentelemetry::metrics::{MeterProvider, noop::NoopMeterProvider};
 use peer::uplink::Feed;
@@ -23,6 +29,7 @@
     age::Bound,
     notice::Notice,
     placement::{Grace, Placer},
+    quarantine::Table,
     view::View,
 };
 use rand::{SeedableRng, rngs::StdRng};
@@ -30,10 +37,12 @@
     dialect::{Ask, Dialect, Order, Reply},
     front::Front,
     site::{Bounds, Given, Site, State},
+    witness::Reports,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::watch,
     task::{LocalSet, spawn_local},
 };
 
@@ -58,6 +67,9 @@
         Ask {
             id: text("id").map(Arc::from),
             patience: Some(Duration::from_secs(5)),
+            parts: text("parts")
+                .map(|parts| parts.split(',').map(name::Part::from).collect())
+                .unwrap_or_default(),
             last_event: text("last").and_then(|last| last.parse().ok()),
             ..Ask::default()
         }
@@ -136,6 +148,7 @@
 }
 
 /// Time since the start of the test.
+#[derive(Clone, Copy)]
 struct Steady(std::time::Instant);
 
 impl Clock for Steady {
@@ -148,20 +161,48 @@
     }
 }
 
-pub(crate) struct Fixed {
-    view: Arc<View>,
+/// Control as relays see it: a state that only the quarantine changes.
+pub(crate) struct Control {
+    view: RefCell<Arc<View>>,
     bound: Cell<Bound>,
+    changes: watch::Sender<u64>,
+    table: RefCell<Table>,
+    clock: Steady,
 }
 
-impl State for Fixed {
+impl State for Control {
     fn feed(&self) -> Arc<Feed> {
         Arc::new(Feed {
-            view: self.view.clone(),
+            view: self.view.borrow().clone(),
             bound: self.bound.get(),
         })
     }
 }
 
+impl Reports for Control {
+    fn send(&self, write: Write) -> LocalBoxFuture<'static, Result<quarantine::Reply, String>> {
+        let at_ms = 1_000_000 + self.clock.now().as_nanos() / 1_000_000;
+        let (reply, deltas) = self.table.borrow_mut().apply(write, at_ms);
+        let mut view = View::clone(&self.view.borrow());
+        let commit = view.commit + 1;
+        view.apply(batch(false, commit, deltas)).unwrap();
+        *self.view.borrow_mut() = Arc::new(view);
+        self.changes.send_modify(|n| *n += 1);
+        future::ready(Ok(reply)).boxed_local()
+    }
+}
+
+fn batch(is_snapshot: bool, commit: u64, deltas: Vec<Delta>) -> Batch {
+    Batch {
+        is_snapshot,
+        deltas,
+        revision: Default::default(),
+        commit,
+        cursor: Cursor::default(),
+        age_ms: 0,
+    }
+}
+
 fn route(prefix: &str, kind: Kind) -> Record {
     Record::Route(Route {
         name: prefix.into(),
@@ -222,54 +263,56 @@
     }
 }
 
+/// A control that knows these instances.
+pub(crate) fn control(upstreams: &[SocketAddr]) -> Rc<Control> {
+    let records = [
+        Record::Routing(Routing {
+            version: 1,
+            limits: Limits::default(),
+            has_callers: false,
+        }),
+        Record::Service(Box::new(Service {
+            name: "s".into(),
+            max_connections: 10,
+            cold: None,
+            engine: Some(engine()),
+            origin: None,
+        })),
+        route("/again/", Kind::Idempotent),
+        route("/once/", Kind::Once),
+        route("/stream/", Kind::Stream { is_resumable: true }),
+    ];
+    let instances = upstreams.iter().enumerate();
+    let instances = instances.map(|(n, address)| instance(n, *address));
+    let records = records.into_iter().chain(instances).map(Delta::Set);
+    let mut view = View::default();
+    view.apply(batch(true, 1, records.collect())).unwrap();
+    let clock = Steady(std::time::Instant::now());
+    Rc::new(Control {
+        view: RefCell::new(Arc::new(view)),
+        bound: Cell::new(Bound::new(clock.now(), Duration::ZERO)),
+        changes: watch::Sender::new(0),
+        table: RefCell::default(),
+        clock,
+    })
+}
+
 /// A relay that takes connections.
 pub(crate) struct Relay {
     pub(crate) site: Rc<Site>,
     pub(crate) address: SocketAddr,
-    state: Rc<Fixed>,
+    pub(crate) control: Rc<Control>,
 }
 
 impl Relay {
     /// A relay before these instances, which it chooses in turn.
     pub(crate) fn start(upstreams: &[SocketAddr]) -> Self {
-        let records = [
-            Record::Routing(Routing {
-                version: 1,
-                limits: Limits::default(),
-                has_callers: false,
-            }),
-            Record::Service(Box::new(Service {
-                name: "s".into(),
-                max_connections: 10,
-                cold: None,
-                engine: Some(engine()),
-                origin: None,
-            })),
-            route("/again/", Kind::Idempotent),
-            route("/once/", Kind::Once),
-            route("/stream/", Kind::Stream { is_resumable: true }),
-        ];
-        let instances = upstreams.iter().enumerate();
-        let instances = instances.map(|(n, address)| instance(n, *address));
-        let mut view = View::default();
-        view.apply(Batch {
-            is_snapshot: true,
-            deltas: records
-                .into_iter()
-                .chain(instances)
-                .map(Delta::Set)
-                .collect(),
-            revision: Default::default(),
-            commit: 1,
-            cursor: Cursor::default(),
-            age_ms: 0,
-        })
-        .unwrap();
-        let clock: Arc<dyn Clock> = Arc::new(Steady(std::time::Instant::now()));
-        let state = Rc::new(Fixed {
-            view: Arc::new(view),
-            bound: Cell::new(Bound::new(clock.now(), Duration::ZERO)),
-        });
+        Self::join(control(upstreams))
+    }
+
+    /// One more relay before the instances that this control knows.
+    pub(crate) fn join(control: Rc<Control>) -> Self {
+        let clock: Arc<dyn Clock> = Arc::new(control.clock);
         let grace = Grace {
             seen: Duration::from_secs(8),
             unseen: Duration::from_secs(1),
@@ -279,7 +322,8 @@
         let site = Site::new(Given {
             placer: Placer::new("z".into(), regions, grace, rng, Instant::ZERO).with_drain(DRAIN),
             clock,
-            state: state.clone(),
+            state: control.clone(),
+            reports: control.clone(),
             dialect: Rc::new(Plain),
             bounds: Bounds {
                 max_age: Duration::from_secs(60),
@@ -294,16 +338,17 @@
         let address = front.address().unwrap();
         let second = Duration::from_secs(1);
         spawn_local(front.run(std::future::pending(), second, second));
+        spawn_local(site.clone().follow(control.changes.subscribe()));
         Self {
             site,
             address,
-            state,
+            control,
         }
     }
 
     /// Lets nobody vouch for the state any more.
     pub(crate) fn forget(&self) {
-        self.state.bound.set(Bound::UNKNOWN);
+        self.control.bound.set(Bound::UNKNOWN);
     }
 
     /// Sends a request on a connection of its own, and returns all that comes back.
