Refuse requests with a part that crashes instances

Callers saw refusals and broken answers for as long as requests with one part in their prompts came: each crashed the engine that began to answer it, and when it was repeated another one.

Cause: a request was repeated and sent whatever had crashed under it before, and no process related crashes to what they had in common. The class: a request that harms whoever takes it, repeated by design. An entry sees too few of the crashes to know by itself.

Change: reports of crashes and acquittals are summed in the replicated log; a part with crashes of three moments, or of two moments and five instances, goes into quarantine for all entries until a probe is answered. A request that was in a crash before is not repeated. A queued or resumed request is judged again at each attempt.

Tests: relay::whole::crashes failed with the verdicts left out (two of three; the third guards against too much), policy::quarantine and policy::poison are new.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -25,7 +25,7 @@
     state::State,
 };
 use settings::control::Control;
-use slog::{Logger, error};
+use slog::{Logger, error, info, warn};
 
 use crate::{
     lane::Lane,
@@ -147,6 +147,7 @@
             (applied, state.routing() != before.as_ref())
         };
         self.applied.replace(index);
+        self.log_quarantine(&applied.deltas);
         self.entries.apply(applied.deltas.iter().cloned());
         let for_agents = |delta: &Delta| match delta {
             Delta::Set(record) => is_for_agents(record),
@@ -161,6 +162,23 @@
         applied.reply
     }
 
+    /// Tells of parts that come into quarantine or leave it.
+    fn log_quarantine(&self, deltas: &[Delta]) {
+        for delta in deltas {
+            match delta {
+                Delta::Set(Record::Suspect(suspect)) if suspect.is_quarantined => {
+                    warn!(self.logger, "quarantine: requests with this part are refused";
+                        "key" => %suspect.key, "crashes" => suspect.crashes,
+                        "probes" => suspect.probes);
+                }
+                Delta::Remove(Key::Suspect(key)) => {
+                    info!(self.logger, "quarantine: part released"; "key" => %key);
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// Notes which instances a command shows to be alive.
     fn hear(&self, command: &Command) {
         let now = self.clock.now();
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -6,7 +6,7 @@
 //! any number of instances put nothing in quarantine. See `docs/DECISIONS.md`, "Quarantine".
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -17,7 +17,12 @@
 use serde::{Deserialize, Serialize};
 
 /// Crashes of as many moments put a part in quarantine, if no request with it was answered between.
-pub const THRESHOLD: usize = 3;
+pub const MOMENTS: usize = 3;
+/// Fewer moments suffice where as many instances crashed: a part that many requests share would
+/// have been answered meanwhile.
+pub const PROCESSES: usize = 5;
+/// See [`PROCESSES`].
+const MIN_MOMENTS: usize = 2;
 /// Crashes closer to each other than this are one moment, in milliseconds: a zone that loses power
 /// takes many instances with it, and that says nothing about the requests there.
 pub const MOMENT_MS: u64 = 250;
@@ -27,8 +32,8 @@
 pub const MAX_SUSPECTS: usize = 1_024;
 /// How many parts of one crash are taken in at most.
 pub const MAX_PARTS: usize = 64;
-/// How many crashes are kept for a part.
-const MAX_CRASHES: usize = 8;
+/// How many crashes are kept for a part, besides the first ones of each moment.
+const MAX_CRASHES: usize = 64;
 /// How many crashes with a known cause are remembered.
 const MAX_EXPLAINED: usize = 512;
 /// The wait before the first probe.
@@ -72,9 +77,16 @@
         self.crashes.iter().filter(counts).count()
     }
 
+    fn is_convincing(&self) -> bool {
+        let moments = self.moments();
+        moments >= MOMENTS || (moments >= MIN_MOMENTS && self.crashes.len() >= PROCESSES)
+    }
+
     fn add(&mut self, seen: &Seen) {
         let is_known = |known: &Seen| known.process == seen.process;
-        if self.crashes.len() >= MAX_CRASHES || self.crashes.iter().any(is_known) {
+        let is_near = |known: &Seen| known.at_ms.abs_diff(seen.at_ms) < MOMENT_MS;
+        let is_full = self.crashes.len() >= MAX_CRASHES && self.crashes.iter().any(is_near);
+        if is_full || self.crashes.iter().any(is_known) {
             return;
         }
         let place = self
@@ -99,6 +111,9 @@
     cases: Vec<(Key, Case)>,
     /// Crashes that a part in quarantine has caused.
     explained: VecDeque<Process>,
+    /// The parts whose cases the write that is being applied has changed.
+    #[serde(skip)]
+    changed: BTreeSet<Key>,
 }
 
 impl Table {
@@ -110,7 +125,6 @@
     /// Applies a write that was taken at the given time, in milliseconds since the Unix epoch, and
     /// returns the reply and what changed.
     pub fn apply(&mut self, write: Write, at_ms: u64) -> (Reply, Vec<Delta>) {
-        let before: BTreeMap<_, _> = self.cases.iter().cloned().collect();
         let reply = match write {
             Write::Crashes(crashes) => {
                 self.expire(at_ms);
@@ -120,16 +134,22 @@
                 Reply::Recorded
             }
             Write::Acquit(keys) => {
-                self.cases.retain(|(key, _)| !keys.contains(key));
+                self.release(|key| keys.contains(key));
                 Reply::Recorded
             }
-            Write::Lift(key) => {
-                self.cases.retain(|(known, _)| *known != key);
+            Write::Lift(lifted) => {
+                self.release(|key| *key == lifted);
                 Reply::Recorded
             }
             Write::Probe { key, probes } => self.probe(&key, probes),
         };
-        (reply, self.changes(&before))
+        (reply, self.take_changes())
+    }
+
+    /// Closes cases.
+    fn release(&mut self, is_released: impl Fn(&Key) -> bool) {
+        let released = self.cases.extract_if(.., |(key, _)| is_released(key));
+        self.changed.extend(released.map(|(key, _)| key));
     }
 
     fn get_mut(&mut self, key: &Key) -> Option<&mut Case> {
@@ -142,6 +162,7 @@
         match self.get_mut(key) {
             Some(case) if case.is_quarantined && case.probes == probes => {
                 case.probes += 1;
+                self.changed.insert(key.clone());
                 Reply::Granted
             }
             _ => Reply::Denied,
@@ -177,17 +198,28 @@
         for key in &keys {
             self.suspect(key).add(&seen);
         }
-        let most = keys.iter().map(|key| self.moments(key)).max();
-        if let Some(most) = most.filter(|most| *most >= THRESHOLD) {
-            // Of the parts of one crash, those with the most evidence explain it.
-            let guilty = keys.iter().filter(|key| self.moments(key) == most);
-            self.convict(&guilty.cloned().collect::<Vec<_>>());
+        // Of the parts of one crash, those with the most evidence explain it.
+        let most = keys.iter().map(|key| self.evidence(key)).max();
+        let guilty: Vec<_> = keys
+            .iter()
+            .filter(|key| Some(self.evidence(key)) == most)
+            .filter(|key| self.get(key).is_some_and(Case::is_convincing))
+            .cloned()
+            .collect();
+        if !guilty.is_empty() {
+            self.convict(&guilty);
         }
     }
 
-    fn moments(&self, key: &Key) -> usize {
+    fn get(&self, key: &Key) -> Option<&Case> {
         let case = self.cases.iter().find(|(known, _)| known == key);
-        case.map_or(0, |(_, case)| case.moments())
+        case.map(|(_, case)| case)
+    }
+
+    /// How much speaks against a part.
+    fn evidence(&self, key: &Key) -> (usize, usize) {
+        let case = self.get(key);
+        case.map_or((0, 0), |case| (case.moments(), case.crashes.len()))
     }
 
     /// The case of a part, which is opened if there is none.
@@ -200,6 +232,7 @@
             self.cases.push((key.clone(), Case::default()));
             self.cases.len() - 1
         });
+        self.changed.insert(key.clone());
         &mut self.cases[place].1
     }
 
@@ -208,7 +241,8 @@
         let cases = self.cases.iter().enumerate();
         let least = cases.min_by_key(|(_, (_, case))| (case.is_quarantined, case.moments()));
         if let Some(place) = least.map(|(place, _)| place) {
-            self.cases.remove(place);
+            let (key, _) = self.cases.remove(place);
+            self.changed.insert(key);
         }
     }
 
@@ -221,6 +255,7 @@
             .filter(|(key, _)| guilty.contains(key))
         {
             case.is_quarantined = true;
+            self.changed.extend(guilty.iter().cloned());
             explained.extend(case.crashes.iter().map(|seen| seen.process.clone()));
         }
         for process in &explained {
@@ -245,25 +280,25 @@
 
     /// Drops crashes from all cases that are still open.
     fn forget(&mut self, is_dropped: impl Fn(&Seen) -> bool) {
-        self.cases.retain_mut(|(_, case)| {
+        for (key, case) in &mut self.cases {
+            let before = case.crashes.len();
             if !case.is_quarantined {
                 case.crashes.retain(|seen| !is_dropped(seen));
             }
-            !case.crashes.is_empty()
-        });
+            if case.crashes.len() < before {
+                self.changed.insert(key.clone());
+            }
+        }
+        self.cases.retain(|(_, case)| !case.crashes.is_empty());
     }
 
-    fn changes(&self, before: &BTreeMap<Key, Case>) -> Vec<Delta> {
-        let changed = self
-            .cases
-            .iter()
-            .filter(|(key, case)| before.get(key) != Some(case))
-            .map(|(key, case)| Delta::Set(case.record(key)));
-        let is_gone = |key: &&Key| !self.cases.iter().any(|(known, _)| known == *key);
-        let removed = before
-            .keys()
-            .filter(is_gone)
-            .map(|key| Delta::Remove(RecordKey::Suspect(key.clone())));
-        changed.chain(removed).collect()
+    fn take_changes(&mut self) -> Vec<Delta> {
+        std::mem::take(&mut self.changed)
+            .into_iter()
+            .map(|key| match self.get(&key) {
+                Some(case) => Delta::Set(case.record(&key)),
+                None => Delta::Remove(RecordKey::Suspect(key)),
+            })
+            .collect()
     }
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -10,6 +10,7 @@
 use peer::uplink::Feed;
 use policy::{
     admission::Timeliness,
+    crash::Verdict,
     placement::{self, Choice, Requirements},
 };
 use tokio::time;
@@ -47,6 +48,8 @@
     pub(crate) sent: u32,
     /// Leave to run, once it is given.
     pub(crate) pass: Option<Pass>,
+    /// Whether it tries out a part of its prompt that is in quarantine.
+    pub(crate) is_probe: bool,
 }
 
 /// An attempt whose answer has begun.
@@ -112,6 +115,7 @@
                 tried: Vec::new(),
                 sent: 0,
                 pass: None,
+                is_probe: false,
             };
             Ok(call.run().await)
         }
@@ -237,6 +241,9 @@
 impl Call {
     /// Tries until there is an answer, or no further attempt is allowed.
     async fn run(mut self) -> Response<Body> {
+        if let Err(failure) = self.clear().await {
+            return self.give_up(None, failure);
+        }
         if let Err(refusal) = self.enter().await {
             return self.give_up(None, refused(refusal, refusal));
         }
@@ -262,8 +269,8 @@
                     last = Some(bad.after(last));
                 }
             }
-            let is_over = matches!(&last, Some(Bad::Unknown(_) | Bad::Own(..)))
-                && !self.outgoing.kind.is_repeatable();
+            let may_have_run = matches!(&last, Some(Bad::Unknown(_) | Bad::Own(..)));
+            let is_over = may_have_run && !self.may_repeat();
             if is_over || self.sent >= self.route.attempts || not_sent > MAX_NOT_SENT {
                 let failure = refused("no further attempt is allowed", placement::Error::Busy);
                 return self.give_up(last, failure);
@@ -271,6 +278,41 @@
         }
     }
 
+    /// Lets a request with a part in quarantine pass as a probe only.
+    async fn clear(&mut self) -> Result<(), Failure> {
+        match self.judge() {
+            Verdict::Free => Ok(()),
+            Verdict::Refused(left) => Err(quarantined(left)),
+            Verdict::Due { key, probes } => {
+                let site = self.site.clone();
+                match site.witness.may_probe(&site, key, probes).await {
+                    true => {
+                        self.is_probe = true;
+                        Ok(())
+                    }
+                    false => Err(quarantined(placement::Error::NoInstance.retry_after())),
+                }
+            }
+        }
+    }
+
+    fn judge(&self) -> Verdict {
+        let parts = &self.outgoing.ask.parts;
+        self.site
+            .witness
+            .judge(&self.service, parts, self.site.now())
+    }
+
+    /// Whether an attempt whose fate is unknown may be followed by another one. One that may have
+    /// crashed its instance would crash the next one too.
+    pub(crate) fn may_repeat(&self) -> bool {
+        let parts = &self.outgoing.ask.parts;
+        let witness = &self.site.witness;
+        self.outgoing.kind.is_repeatable()
+            && !self.is_probe
+            && !witness.is_suspected(&self.service, parts, self.site.now())
+    }
+
     /// Waits for leave to run, where engines answer.
     async fn enter(&mut self) -> Result<(), placement::Error> {
         let site = self.site.clone();
@@ -312,6 +354,11 @@
         if self.outgoing.deadline.since(now) < MIN_LEFT {
             return Err(Failure::Late);
         }
+        // A part of the prompt may have come into quarantine while the request waited.
+        match self.judge() {
+            Verdict::Refused(left) if !self.is_probe => return Err(quarantined(left)),
+            _ => {}
+        }
         let need = self.need(pinned);
         let chosen = self
             .site
@@ -348,9 +395,7 @@
 
     /// Whether an attempt that is silent may be dropped for another one.
     fn may_turn_away(&self) -> bool {
-        self.outgoing.kind.is_repeatable()
-            && self.sent + 1 < self.route.attempts
-            && self.choose(None).is_ok()
+        self.may_repeat() && self.sent + 1 < self.route.attempts && self.choose(None).is_ok()
     }
 
     fn note(&mut self, choice: &Choice, begun: &Result<Begun, Tried>) {
@@ -422,6 +467,13 @@
     }
 }
 
+fn quarantined(left: Duration) -> Failure {
+    Failure::Refused {
+        reason: "a part of the prompt crashes instances".to_owned(),
+        retry: left,
+    }
+}
+
 fn refused(reason: impl Display, refusal: placement::Error) -> Failure {
     Failure::Refused {
         reason: reason.to_string(),
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -19,7 +19,7 @@
     pub model: Option<name::Artifact>,
     /// How many prompt tokens there are.
     pub prompt_tokens: u32,
-    /// The parts of the prompt that other requests may share, in their order.
+    /// The parts of the prompt, in their order. Requests may share them.
     pub parts: Arc<[name::Part]>,
     /// The last event that the caller has of an earlier answer.
     pub last_event: Option<u64>,
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -71,7 +71,7 @@
     pub basis: Option<(u64, u64)>,
     /// How long the caller had waited already when it asked: after a refusal it comes back.
     pub waited: Duration,
-    /// The parts of the prompt that other requests may share.
+    /// The parts of the prompt.
     pub parts: Arc<[name::Part]>,
     /// Each instance that was tried, with what came of it.
     pub steps: Vec<String>,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -218,7 +218,7 @@
     }
 
     fn may_resume(&self) -> bool {
-        self.call.outgoing.kind.is_repeatable()
+        self.call.may_repeat()
             && self.call.sent < self.call.route.attempts
             && self.reader.ids.last().is_some()
     }
--- a/crates/relay/src/witness.rs
+++ b/crates/relay/src/witness.rs
@@ -11,14 +11,17 @@
     clock::Instant,
     instance::Instance,
     name,
-    quarantine::{Crash, Process, Reply, Write},
+    quarantine::{Crash, Key, Process, Reply, Write},
 };
 use futures::{
     FutureExt,
     future::{self, LocalBoxFuture},
 };
 use peer::uplink::Client;
-use policy::{crash::Tracker, view::View};
+use policy::{
+    crash::{Tracker, Verdict},
+    view::View,
+};
 use slog::{info, warn};
 use tokio::{net::TcpStream, task, time};
 
@@ -66,6 +69,26 @@
         }
     }
 
+    /// What holds of a request with these parts.
+    pub(crate) fn judge(
+        &self,
+        service: &name::Service,
+        parts: &[name::Part],
+        now: Instant,
+    ) -> Verdict {
+        self.tracker.borrow().judge(service, parts, now)
+    }
+
+    /// Whether a request may have caused a crash before.
+    pub(crate) fn is_suspected(
+        &self,
+        service: &name::Service,
+        parts: &[name::Part],
+        now: Instant,
+    ) -> bool {
+        self.tracker.borrow().is_suspected(service, parts, now)
+    }
+
     pub(crate) fn observe(&self, site: &Rc<Site>, view: &View) {
         self.tracker.borrow_mut().observe(view, site.now());
         self.tell_acquittals(site);
@@ -109,6 +132,20 @@
             task::spawn_local(examine(site.clone()));
         }
     }
+
+    /// Asks whether this entry may send the next probe of a part.
+    pub(crate) async fn may_probe(&self, site: &Site, key: Key, probes: u32) -> bool {
+        self.tracker.borrow_mut().ask(&key, true);
+        let write = Write::Probe {
+            key: key.clone(),
+            probes,
+        };
+        let reply = self.reports.send(write).await;
+        self.tracker.borrow_mut().ask(&key, false);
+        info!(site.journal.logger(), "quarantine: asked for a probe";
+            "key" => %key, "probes" => probes, "reply" => ?reply);
+        reply == Ok(Reply::Granted)
+    }
 }
 
 /// Checks instances at which requests were lost, until there are none left.
--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -192,6 +192,17 @@
     }
 }
 
+impl Control {
+    /// The parts that are in quarantine.
+    pub(crate) fn quarantined(&self) -> Vec<String> {
+        let view = self.view.borrow();
+        let quarantined = view.suspects.values().filter(|case| case.is_quarantined);
+        quarantined
+            .map(|suspect| suspect.key.part.to_string())
+            .collect()
+    }
+}
+
 fn batch(is_snapshot: bool, commit: u64, deltas: Vec<Delta>) -> Batch {
     Batch {
         is_snapshot,
--- a/crates/relay/tests/whole/main.rs
+++ b/crates/relay/tests/whole/main.rs
@@ -4,6 +4,7 @@
 
 mod attempts;
 mod common;
+mod crashes;
 mod gate;
 mod heads;
 mod notices;
