Take only what can be answered before a planned end

Another operator's callers saw connections close without an answer at the end of a planned stop, also of requests that may not be repeated.

Cause: an entry took whatever it had read, however late, and ended with what was running. Ruled out: connections that have carried nothing yet; the library closes them with the idle ones (a first form of the test showed that).

Change: what can't be answered in the time that is left is refused as not run; what is unanswered 0.2 s before the end gets 504.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod changes;
 pub mod cold;
 pub mod crash;
+pub mod drain;
 pub mod fair;
 pub mod gate;
 pub mod ledger;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -11,6 +11,7 @@
 use policy::{
     admission::Timeliness,
     crash::Verdict,
+    drain,
     placement::{self, Choice, Requirements},
 };
 use tokio::time;
@@ -117,7 +118,12 @@
                 pass: None,
                 is_probe: false,
             };
-            Ok(call.run().await)
+            let shared = call.site.clone();
+            tokio::select! {
+                biased;
+                response = call.run() => Ok(response),
+                () = shared.ended() => Ok(Failure::Late.response()),
+            }
         }
     }
 }
@@ -189,6 +195,14 @@
     })?;
     let timeout = Duration::from_millis(route.timeout_ms.into());
     let patience = ask.patience.unwrap_or(timeout);
+    if let Some(left) = site.ends_at().map(|at| at.since(now))
+        && !drain::admits(route.kind, patience.min(timeout), left)
+    {
+        return Err(Failure::Refused {
+            reason: "this entry ends".to_owned(),
+            retry: Duration::ZERO,
+        });
+    }
     trace.waited = site.has_waited(route, patience);
     // A stream that is to go on has begun already.
     let chance = match ask.last_event {
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -27,6 +27,8 @@
 const MAX_HEADERS: usize = 256;
 /// The pause after a failure to accept, which is mostly a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long before its end the process answers requests that are still unanswered.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// How often the end of running requests is looked for.
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 
@@ -78,7 +80,7 @@
         }
         let site = self.site.clone();
         info!(site.journal.logger(), "relay: leaving"; "running" => site.running());
-        site.leave();
+        site.leave(limit);
         let begun = time::Instant::now();
         tokio::select! {
             () = self.accept() => {}
@@ -87,7 +89,12 @@
         self.closing.send_replace(true);
         let closing = self.closing;
         drop(self.listener);
-        while !(closing.is_closed() && site.running() == 0) && begun.elapsed() < limit {
+        let is_over = || closing.is_closed() && site.running() == 0;
+        while !is_over() && begun.elapsed() + ANSWER_TIME < limit {
+            time::sleep(DRAIN_PERIOD).await;
+        }
+        site.end();
+        while !is_over() && begun.elapsed() < limit {
             time::sleep(DRAIN_PERIOD).await;
         }
         match site.running() {
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -171,6 +171,12 @@
                 format!("broke off: {reason}"),
                 None,
             ),
+            None if self.site.has_ended() => (
+                "failed",
+                Class::Failure,
+                "unanswered when the entry ended".to_owned(),
+                Some(504),
+            ),
             None => ("left", Class::Routine, "the caller left".to_owned(), None),
         };
         self.site.meters.ended(
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -111,7 +111,10 @@
     turns: RefCell<HashMap<Arc<str>, RoundRobin>>,
     patiences: RefCell<HashMap<name::Route, Estimator>>,
     running: Cell<u32>,
-    is_leaving: Cell<bool>,
+    /// When the process ends, once it is to end.
+    ends_at: Cell<Option<Instant>>,
+    /// Whether requests that are still unanswered get their last word.
+    ending: watch::Sender<bool>,
 }
 
 impl Site {
@@ -133,7 +136,8 @@
             turns: RefCell::default(),
             patiences: RefCell::default(),
             running: Cell::default(),
-            is_leaving: Cell::default(),
+            ends_at: Cell::default(),
+            ending: watch::Sender::new(false),
         })
     }
 
@@ -160,7 +164,7 @@
     pub fn obstacle(&self) -> Option<&'static str> {
         let feed = self.feed();
         match &feed.view.routing {
-            _ if self.is_leaving.get() => Some("the process ends"),
+            _ if self.is_leaving() => Some("the process ends"),
             None => Some("no routing is known yet"),
             Some(_) if !feed.is_fresh(self.now(), self.bounds.ready_age) => {
                 Some("the state is too old")
@@ -169,14 +173,35 @@
         }
     }
 
-    /// From now on connections end with their next answer.
-    pub fn leave(&self) {
-        self.is_leaving.set(true);
+    /// From now on connections end with their next answer. The process ends after `limit`.
+    pub fn leave(&self, limit: Duration) {
+        self.ends_at.set(Some(self.now() + limit));
     }
 
     /// Whether the process ends.
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving.get()
+        self.ends_at.get().is_some()
+    }
+
+    /// When the process ends, once it is to end.
+    pub fn ends_at(&self) -> Option<Instant> {
+        self.ends_at.get()
+    }
+
+    /// Gives requests that are still unanswered their last word.
+    pub fn end(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// Whether requests that are still unanswered got their last word.
+    pub fn has_ended(&self) -> bool {
+        *self.ending.borrow()
+    }
+
+    /// Waits until [`Site::end`].
+    pub async fn ended(&self) {
+        // The sender lives as long as the site.
+        let _ = self.ending.subscribe().wait_for(|ending| *ending).await;
     }
 
     /// How many requests are running.
--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -49,6 +49,9 @@
 /// How long an instance that leaves may still be used.
 pub(crate) const DRAIN: Duration = Duration::from_millis(300);
 
+/// How long a relay that is to end takes new connections.
+pub(crate) const NOTICE: Duration = Duration::from_millis(100);
+
 /// Runs a test on one thread.
 pub(crate) fn run(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -323,6 +326,15 @@
 
     /// One more relay before the instances that this control knows.
     pub(crate) fn join(control: Rc<Control>) -> Self {
+        Self::join_until(control, future::pending(), Duration::from_secs(1))
+    }
+
+    /// A relay that is to end after `leave`, within `limit`.
+    pub(crate) fn join_until(
+        control: Rc<Control>,
+        leave: impl Future<Output = ()> + 'static,
+        limit: Duration,
+    ) -> Self {
         let clock: Arc<dyn Clock> = Arc::new(control.clock);
         let grace = Grace {
             seen: Duration::from_secs(8),
@@ -347,8 +359,7 @@
         });
         let front = Front::bind("127.0.0.1:0".parse().unwrap(), site.clone()).unwrap();
         let address = front.address().unwrap();
-        let second = Duration::from_secs(1);
-        spawn_local(front.run(std::future::pending(), second, second));
+        spawn_local(front.run(leave, NOTICE, limit));
         spawn_local(site.clone().follow(control.changes.subscribe()));
         Self {
             site,
--- a/crates/relay/tests/whole/main.rs
+++ b/crates/relay/tests/whole/main.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod common;
 mod crashes;
+mod ends;
 mod gate;
 mod heads;
 mod notices;
