Let no stream end as complete that has broken off

Reported by other operators: streams that ended as if they were complete after the next instance failed. Two forms of it could happen here: a resumed stream whose instance closed right after a head without length or chunks, and a stream to a caller of HTTP/1.0, whose end is that of the connection.

Cause: the last event of the broken attempt counted as one of the new attempt; and the connection of an old caller closed in order whatever came before.

Change: an answer without a frame is whole only with an event of its own, and one without any is lost like a broken connection. The connection of an old caller whose answer broke off is reset.

Ruled out by tests (relay::whole::broken): texts of errors in a stream, heads that are cut anywhere, bodies without a frame that are reset.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -533,7 +533,13 @@
                 turn.progress();
                 Ok(Begun::Stream(answered, turn, reader, first))
             }
-            Ok(Ok(None)) => Ok(Begun::Stream(answered, turn, reader, Bytes::new())),
+            Ok(Ok(None)) if reader.is_whole() => {
+                Ok(Begun::Stream(answered, turn, reader, Bytes::new()))
+            }
+            Ok(Ok(None)) => {
+                turn.lose();
+                Err(unknown("the stream ended without an event".to_owned()))
+            }
             Ok(Err(reason)) => {
                 turn.lose();
                 Err(unknown(reason))
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -1,9 +1,9 @@
 //! The listener for callers, and its orderly end.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use http::{HeaderValue, Response, header};
-use hyper::{server::conn::http1, service::service_fn};
+use http::{HeaderValue, Request, Response, Version, header};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{debug, info, warn};
 use socket2::SockRef;
@@ -13,7 +13,7 @@
     task, time,
 };
 
-use crate::{call, site::Site};
+use crate::{call, site::Site, socket::Socket};
 
 /// Connections that wait to be accepted; more of them are turned away by the kernel.
 const BACKLOG: u32 = 1_024;
@@ -137,8 +137,13 @@
     let limits = site.limits();
     let idle = Duration::from_millis(limits.idle_timeout_ms.into()) + IDLE_MARGIN;
     let shared = site.clone();
-    let service = service_fn(move |request| {
+    let is_old = Rc::new(Cell::new(false));
+    let is_broken = Rc::new(Cell::new(false));
+    let socket = Socket::new(stream, is_broken.clone());
+    let version = is_old.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
         let site = shared.clone();
+        version.set(request.version() == Version::HTTP_10);
         async move {
             let answered = call::handle(site.clone(), request).await;
             answered.map(|response| with_close(&site, response))
@@ -149,7 +154,7 @@
         .header_read_timeout(idle)
         .max_headers(MAX_HEADERS)
         .max_buf_size(buffer_bytes(limits.header_bytes))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = &mut connection => ended,
@@ -159,6 +164,8 @@
         }
     };
     if let Err(error) = ended {
+        // Such a caller knows no other sign of the end than that of the connection.
+        is_broken.set(is_old.get());
         debug!(site.journal.logger(), "relay: connection ended"; "peer" => %peer,
             "reason" => %error);
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod meters;
 pub mod pool;
 pub mod site;
+mod socket;
 mod stream;
 pub mod whole;
 pub mod witness;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -38,6 +38,8 @@
     ids: Ids,
     /// Whether the body's length is told, so that its end can't be mistaken.
     is_framed: bool,
+    /// Whether an event came.
+    has_event: bool,
 }
 
 impl Reader {
@@ -49,9 +51,16 @@
             splitter: Splitter::new().with_limit(MAX_EVENT_BYTES),
             ids: Ids::new(last),
             is_framed,
+            has_event: false,
         }
     }
 
+    /// Whether the end of the body is that of the stream. An instance that crashes right after its
+    /// head, without a frame, says nothing by closing.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.is_framed || self.has_event
+    }
+
     /// The next whole events, or nothing at the end of a whole stream.
     ///
     /// # Errors
@@ -86,6 +95,7 @@
             let Some(event) = next else {
                 return Ok(events.freeze());
             };
+            self.has_event = true;
             match self.ids.check(&event).map_err(|fault| fault.to_string())? {
                 Verdict::Pass | Verdict::Done => events.extend_from_slice(&event.raw),
                 Verdict::Skip => {}
@@ -210,7 +220,7 @@
                 }
                 Next::Events(events)
             }
-            Ok(Ok(None)) if self.reader.is_framed || self.reader.ids.last().is_some() => Next::End,
+            Ok(Ok(None)) if self.reader.is_whole() => Next::End,
             Ok(Ok(None)) => Next::Fault("the stream ended without an event".to_owned()),
             Ok(Err(reason)) => Next::Fault(reason),
             Err(_) => Next::Silence,
--- a/crates/relay/tests/whole/main.rs
+++ b/crates/relay/tests/whole/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod attempts;
+mod broken;
 mod common;
 mod crashes;
 mod ends;
