--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -19,6 +19,7 @@
     vms: Gauge<u64>,
     ledger_entries: Gauge<u64>,
     ledger_started: Gauge<u64>,
+    quarantined: Gauge<u64>,
 }
 
 /// What the gauges show.
@@ -34,6 +35,8 @@
     pub ledger_entries: usize,
     /// How many of those have started and not ended.
     pub ledger_started: usize,
+    /// How many parts of prompts are in quarantine.
+    pub quarantined: usize,
 }
 
 impl Metrics {
@@ -73,6 +76,10 @@
                 .u64_gauge("gypsum_control_ledger_entries")
                 .with_description("Calls that the ledger holds")
                 .build(),
+            quarantined: meter
+                .u64_gauge("gypsum_control_quarantined")
+                .with_description("Parts of prompts that are refused, as they crash instances")
+                .build(),
             ledger_started: meter
                 .u64_gauge("gypsum_control_ledger_started")
                 .with_description("Calls that have started and not ended")
@@ -105,5 +112,6 @@
             .record(reading.ledger_entries as u64, &[]);
         self.ledger_started
             .record(reading.ledger_started as u64, &[]);
+        self.quarantined.record(reading.quarantined as u64, &[]);
     }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -142,6 +142,7 @@
                 vms: core.vm_count(),
                 ledger_entries: state.ledger().len(),
                 ledger_started: state.ledger().started(),
+                quarantined: state.quarantine().quarantined(),
             }
         };
         core.metrics.show(reading);
--- a/crates/domain/src/quarantine.rs
+++ b/crates/domain/src/quarantine.rs
@@ -53,8 +53,6 @@
         /// How many probes of it the entry knows of. Only one entry gets the next one.
         probes: u32,
     },
-    /// An operator lifts the quarantine of a part.
-    Lift(Key),
 }
 
 /// The reply to a write.
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -122,6 +122,12 @@
         self.cases.iter().map(|(key, case)| case.record(key))
     }
 
+    /// How many parts are in quarantine.
+    pub fn quarantined(&self) -> usize {
+        let cases = self.cases.iter();
+        cases.filter(|(_, case)| case.is_quarantined).count()
+    }
+
     /// Applies a write that was taken at the given time, in milliseconds since the Unix epoch, and
     /// returns the reply and what changed.
     pub fn apply(&mut self, write: Write, at_ms: u64) -> (Reply, Vec<Delta>) {
@@ -137,10 +143,6 @@
                 self.release(|key| keys.contains(key));
                 Reply::Recorded
             }
-            Write::Lift(lifted) => {
-                self.release(|key| *key == lifted);
-                Reply::Recorded
-            }
             Write::Probe { key, probes } => self.probe(&key, probes),
         };
         (reply, self.take_changes())
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -3,10 +3,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::{
-    collections::{BTreeMap, HashMap, HashSet},
-    time::Duration,
-};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use domain::{
     clock::Instant,
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -211,7 +211,7 @@
         (probe(0), Reply::Granted),
         (probe(0), Reply::Denied),
         (probe(1), Reply::Granted),
-        (Write::Lift(key("p")), Reply::Recorded),
+        (Write::Acquit(vec![key("p")]), Reply::Recorded),
         (probe(2), Reply::Denied),
     ] {
         let text = format!("{write:?}");
