--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -30,6 +30,9 @@
 /// The time between two acquittals of the same part.
 const ACQUIT_PERIOD: Duration = Duration::from_millis(250);
 
+/// How long a probe takes at least until its outcome is known to all entries.
+const PROBE_TIME: Duration = Duration::from_secs(1);
+
 /// A part in quarantine, as this entry knows it.
 #[derive(Clone, Copy, Debug)]
 struct Term {
@@ -252,6 +255,3 @@
         sound.is_some_and(|at| now.since(*at) < SOUND)
     }
 }
-
-/// How long a probe takes at least until its outcome is known to all entries.
-const PROBE_TIME: Duration = Duration::from_secs(1);
