Let only an answer acquit the parts of a prompt

Found in reading the change: an instance that turned a request away with a 4xx acquitted its parts, though nothing of the prompt had been answered, so that a part could stay out of quarantine.

Change: only a success acquits. Besides, a request that asks to be a probe waits for 0.5 s at most, and one that is queued while a probe becomes due is refused.

relay::whole::crashes::a_rejection_acquits_no_part failed with the condition left out and passes with it.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -371,7 +371,10 @@
         // A part of the prompt may have come into quarantine while the request waited.
         match self.judge() {
             Verdict::Refused(left) if !self.is_probe => return Err(quarantined(left)),
-            _ => {}
+            Verdict::Due { .. } if !self.is_probe => {
+                return Err(quarantined(placement::Error::NoInstance.retry_after()));
+            }
+            Verdict::Free | Verdict::Refused(_) | Verdict::Due { .. } => {}
         }
         let need = self.need(pinned);
         let chosen = self
@@ -566,7 +569,10 @@
     match head.status.is_server_error() {
         true => Err(Tried::Bad(Bad::Own(head, bytes))),
         false => {
-            turn.finish();
+            // An instance that turns a request away has not begun to answer its prompt.
+            if head.status.is_success() {
+                turn.finish();
+            }
             Ok(Begun::Whole(head, bytes))
         }
     }
--- a/crates/relay/src/witness.rs
+++ b/crates/relay/src/witness.rs
@@ -36,6 +36,9 @@
 /// How long a report is repeated: control finds a new leader within a second or two.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How long a request waits for the leave to be a probe. A grant that comes later is lost.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Where a relay tells what it sees of crashes.
 pub trait Reports {
     /// Passes a write on, and gives its reply.
@@ -140,7 +143,8 @@
             key: key.clone(),
             probes,
         };
-        let reply = self.reports.send(write).await;
+        let sent = time::timeout(PROBE_TIMEOUT, self.reports.send(write)).await;
+        let reply = sent.unwrap_or_else(|_| Err("no answer in time".to_owned()));
         self.tracker.borrow_mut().ask(&key, false);
         info!(site.journal.logger(), "quarantine: asked for a probe";
             "key" => %key, "probes" => probes, "reply" => ?reply);
--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -196,6 +196,13 @@
 }
 
 impl Control {
+    /// The parts that are suspected.
+    pub(crate) fn suspected(&self) -> Vec<String> {
+        let view = self.view.borrow();
+        let keys = view.suspects.keys();
+        keys.map(|key| key.part.to_string()).collect()
+    }
+
     /// The parts that are in quarantine.
     pub(crate) fn quarantined(&self) -> Vec<String> {
         let view = self.view.borrow();
--- a/crates/relay/tests/whole/crashes.rs
+++ b/crates/relay/tests/whole/crashes.rs
@@ -10,7 +10,7 @@
     time,
 };
 
-use crate::common::{Control, Relay, control, read_head, run};
+use crate::common::{Control, Relay, Upstream, control, read_head, run};
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nid: q\r\nseal: 1\r\ntransfer-encoding: chunked\r\n\r\n";
 const EVENT: &str = "f\r\nid: 1\ndata: x\n\n\r\n";
@@ -176,3 +176,23 @@
         );
     });
 }
+
+/// Fails where any answer acquits: a part that an instance turned away counted as sound.
+#[test]
+fn a_rejection_acquits_no_part() {
+    const REJECTED: &str = "HTTP/1.1 404 No\r\nid: q\r\nseal: 1\r\ncontent-length: 0\r\n\r\n";
+    run(async {
+        let fragile = Fragile::start().await;
+        let rejecting = Upstream::start(&[REJECTED; 40]).await;
+        let control = control(&[fragile.address, rejecting.address]);
+        let relay = Relay::join(control.clone());
+        while fragile.is_up() {
+            ask(&relay, "deadly,own").await;
+        }
+        time::sleep(MOMENT).await;
+        let answer = ask(&relay, "deadly,own").await;
+        assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+        time::sleep(MOMENT).await;
+        assert!(control.suspected().contains(&"deadly".to_owned()));
+    });
+}
