Simplify what the incident's change wrote twice or kept in vain

Found in reading the whole change again; nobody saw a fault, and what is decided stays as it is.

- policy::crash kept a copy of every suspect where the keys suffice, and built the keys of a crash's parts by hand beside the function that does.
- policy::quarantine added the convicted parts to the changes once for each.
- Agents' feeds got the removal of suspects that they never had; one question of the key now decides for records that are set and removed.
- A choice asks for the verdict in one match without repeated guards.
- Tests: one view of records for policy's cold, placement and quarantine, one listener for the relay's scripted instances; a counter that nothing read is gone from policy::poison.
No assertion changed.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -150,8 +150,8 @@
         self.log_quarantine(&applied.deltas);
         self.entries.apply(applied.deltas.iter().cloned());
         let for_agents = |delta: &Delta| match delta {
-            Delta::Set(record) => is_for_agents(record),
-            Delta::Remove(_) => true,
+            Delta::Set(record) => is_for_agents(&record.key()),
+            Delta::Remove(key) => is_for_agents(key),
         };
         self.agents
             .apply(applied.deltas.into_iter().filter(for_agents));
@@ -192,7 +192,7 @@
     }
 
     fn replace(&self, records: Vec<Record>, is_covered: impl Fn(&Key) -> bool + Copy) {
-        let for_agents = records.iter().filter(|record| is_for_agents(record));
+        let for_agents = records.iter().filter(|record| is_for_agents(&record.key()));
         self.agents
             .replace(for_agents.cloned().collect(), is_covered);
         self.entries.replace(records, is_covered);
@@ -365,9 +365,6 @@
 }
 
 /// Agents choose no routes, know no callers and read no prompts.
-fn is_for_agents(record: &Record) -> bool {
-    !matches!(
-        record,
-        Record::Route(_) | Record::Caller(_) | Record::Suspect(_)
-    )
+fn is_for_agents(key: &Key) -> bool {
+    !matches!(key, Key::Route(_) | Key::Caller(_) | Key::Suspect(_))
 }
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -6,13 +6,16 @@
 //! parts of its prompt. What remains is told to the others, see [`crate::quarantine`]. This handles
 //! every rate of requests: what is kept is bounded.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use domain::{
     clock::Instant,
     instance::Instance,
     name,
-    quarantine::{Crash, Key, Process, Suspect},
+    quarantine::{Crash, Key, Process},
 };
 
 use crate::{quarantine, view::View};
@@ -29,7 +32,6 @@
 const MAX_PARTS: usize = 16_384;
 /// The time between two acquittals of the same part.
 const ACQUIT_PERIOD: Duration = Duration::from_millis(250);
-
 /// How long a probe takes at least until its outcome is known to all entries.
 const PROBE_TIME: Duration = Duration::from_secs(1);
 
@@ -76,7 +78,8 @@
     /// Requests lost at instances that may have crashed.
     lost: HashMap<Process, Loss>,
     /// The suspects of all entries.
-    suspects: HashMap<Key, Suspect>,
+    suspects: HashSet<Key>,
+    /// Those of them that are in quarantine.
     terms: HashMap<Key, Term>,
     /// When each suspect was last acquitted by this entry.
     acquitted: HashMap<Key, Instant>,
@@ -97,12 +100,9 @@
 
     /// Updates from a new view of the replicated state.
     pub fn observe(&mut self, view: &View, now: Instant) {
-        let suspects = view.suspects.iter();
-        self.suspects = suspects
-            .map(|(key, suspect)| (key.clone(), suspect.clone()))
-            .collect();
+        self.suspects = view.suspects.keys().cloned().collect();
         let known = std::mem::take(&mut self.terms);
-        let terms = self.suspects.values().filter(|case| case.is_quarantined);
+        let terms = view.suspects.values().filter(|case| case.is_quarantined);
         self.terms = terms
             .map(|suspect| {
                 let fresh = Term {
@@ -130,7 +130,7 @@
 
     /// The suspects of others that this entry knows to be sound and has not acquitted just now.
     pub fn take_acquittals(&mut self, now: Instant) -> Vec<Key> {
-        let suspects = self.suspects.keys();
+        let suspects = self.suspects.iter();
         let sound: Vec<_> = suspects
             .filter(|key| self.is_sound(key, now))
             .filter(|key| {
@@ -175,15 +175,11 @@
     /// Settles whether a process has crashed. Returns what the others should know of it.
     pub fn settle(&mut self, process: &Process, has_crashed: bool, now: Instant) -> Option<Crash> {
         let loss = self.lost.remove(process).filter(|_| has_crashed)?;
-        let mut parts = loss.parts;
-        parts.retain(|part| {
-            let key = Key {
-                service: loss.service.clone(),
-                part: part.clone(),
-            };
-            !self.is_sound(&key, now)
-        });
-        for key in keys(&loss.service, &parts) {
+        let doubtful: Vec<_> = keys(&loss.service, &loss.parts)
+            .filter(|key| !self.is_sound(key, now))
+            .collect();
+        let parts = doubtful.iter().map(|key| key.part.clone()).collect();
+        for key in doubtful {
             if self.blamed.len() < MAX_PARTS {
                 self.blamed.insert(key, now);
             }
@@ -206,7 +202,7 @@
         keys(service, parts).any(|key| {
             let blamed = self.blamed.get(&key);
             let is_blamed = blamed.is_some_and(|at| now.since(*at) < CAUTION);
-            !self.is_sound(&key, now) && (is_blamed || self.suspects.contains_key(&key))
+            !self.is_sound(&key, now) && (is_blamed || self.suspects.contains(&key))
         })
     }
 
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -257,9 +257,9 @@
             .filter(|(key, _)| guilty.contains(key))
         {
             case.is_quarantined = true;
-            self.changed.extend(guilty.iter().cloned());
             explained.extend(case.crashes.iter().map(|seen| seen.process.clone()));
         }
+        self.changed.extend(guilty.iter().cloned());
         for process in &explained {
             self.explain(process);
         }
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -2,13 +2,15 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod common;
+
 use std::{collections::HashMap, time::Duration};
 
 use domain::{
     clock::Instant,
     instance::{Instance, Phase},
     name,
-    record::{Batch, Cursor, Delta, Record},
+    record::Record,
     routing::{Service, Warmup},
     vm::{Announcement, Lifecycle, Status, Upstream, Vm},
 };
@@ -82,17 +84,7 @@
     }));
     let instances = (0..instances).map(|n| Record::Instance(Box::new(instance(n))));
     let records = [service].into_iter().chain(instances);
-    let mut view = View::default();
-    view.apply(Batch {
-        is_snapshot: true,
-        deltas: records.chain(entries.map(entry)).map(Delta::Set).collect(),
-        revision: Default::default(),
-        commit: 1,
-        cursor: Cursor::default(),
-        age_ms: 0,
-    })
-    .unwrap();
-    view
+    common::view(records.chain(entries.map(entry)))
 }
 
 /// What happens to the entries in a case.
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -2,13 +2,16 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod common;
+
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use common::view;
 use domain::{
     clock::Instant,
     instance::{Instance, Layers, Phase},
     name,
-    record::{Batch, Cursor, Delta, Record, Target},
+    record::{Record, Target},
     routing::{Engine, Service, Share, Warmup},
     vm::{Announcement, Lifecycle, Status, Upstream, Vm},
 };
@@ -77,20 +80,6 @@
     }
 }
 
-fn view(records: Vec<Record>) -> View {
-    let mut view = View::default();
-    view.apply(Batch {
-        is_snapshot: true,
-        deltas: records.into_iter().map(Delta::Set).collect(),
-        revision: Default::default(),
-        commit: 1,
-        cursor: Cursor::default(),
-        age_ms: 0,
-    })
-    .unwrap();
-    view
-}
-
 fn fleet(instances: Vec<Instance>) -> Vec<Record> {
     let services = [Record::Service(Box::new(service(None)))];
     let instances = instances.into_iter().map(Box::new).map(Record::Instance);
@@ -191,7 +180,7 @@
 fn excluded_zones_and_regions_are_not_chosen() {
     let both = || fleet(vec![instance(1, "a", 1), instance(2, "b", 1)]);
     let out = [Record::ZoneOut("a".into())];
-    let view_out = view(both().into_iter().chain(out).collect());
+    let view_out = view(both().into_iter().chain(out));
     let mut placer = placer();
     placer.observe(&view_out, LATER);
     let chosen = choose(&mut placer, &view_out, &Request::new(), LATER);
@@ -213,21 +202,11 @@
     let mut placer = placer();
     let at = |ms| LATER + Duration::from_millis(ms);
     let old = instance(1, "a", 1);
-    let one = view(
-        fleet(vec![old.clone()])
-            .into_iter()
-            .chain([target(1)])
-            .collect(),
-    );
+    let one = view(fleet(vec![old.clone()]).into_iter().chain([target(1)]));
     placer.observe(&one, LATER);
-    let two = view(
-        fleet(vec![old.clone()])
-            .into_iter()
-            .chain([target(2)])
-            .collect(),
-    );
+    let two = view(fleet(vec![old.clone()]).into_iter().chain([target(2)]));
     placer.observe(&two, LATER);
-    let three = view(fleet(vec![old]).into_iter().chain([target(3)]).collect());
+    let three = view(fleet(vec![old]).into_iter().chain([target(3)]));
     placer.observe(&three, at(3_000));
     let cases = [
         (5_900, Ok("i-1".to_owned())),
@@ -244,8 +223,7 @@
     let new = view(
         fleet(vec![instance(2, "a", 2)])
             .into_iter()
-            .chain([target(3)])
-            .collect(),
+            .chain([target(3)]),
     );
     assert_eq!(
         choose(&mut placer, &new, &Request::new(), at(6_100)),
@@ -263,14 +241,9 @@
 fn resume_keeps_its_version_until_it_expires() {
     let mut placer = placer();
     let instances = vec![instance(1, "a", 1), instance(2, "a", 2)];
-    let before = view(
-        fleet(instances.clone())
-            .into_iter()
-            .chain([target(1)])
-            .collect(),
-    );
+    let before = view(fleet(instances.clone()).into_iter().chain([target(1)]));
     placer.observe(&before, LATER);
-    let state = view(fleet(instances).into_iter().chain([target(2)]).collect());
+    let state = view(fleet(instances).into_iter().chain([target(2)]));
     placer.observe(&state, LATER);
     let request = Request {
         pinned: Some(1),
@@ -329,7 +302,7 @@
         let records = fleet(vec![instance(1, "a", 1)])
             .into_iter()
             .chain([agent(lifecycle)]);
-        let view = view(records.collect());
+        let view = view(records);
         let mut placer = placer();
         placer.observe(&view, LATER);
         assert_eq!(
@@ -355,7 +328,7 @@
         Record::Service(Box::new(service(Some(cold)))),
         Record::Instance(Box::new(instance)),
     ];
-    let full = view(alone.iter().chain(others).cloned().collect());
+    let full = view(alone.iter().chain(others).cloned());
     let alone = view(alone);
     let mut placer = placer();
     placer.observe(if is_late { &alone } else { &full }, LATER);
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -3,7 +3,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 
 use domain::{
     clock::Instant,
@@ -87,7 +87,6 @@
     born: Vec<u64>,
     away_until: Vec<u64>,
     running: Vec<Running>,
-    probing: HashMap<usize, u64>,
     report: Report,
     next: u64,
 }
@@ -112,7 +111,6 @@
             born: vec![1; day.instances],
             away_until: vec![0; day.instances],
             running: Vec::new(),
-            probing: HashMap::new(),
             report: Report::default(),
             next: 0,
             day,
@@ -263,7 +261,6 @@
         self.running = kept;
         let mut entries = HashSet::new();
         for one in lost.iter().filter(|one| !one.is_acquitted) {
-            // An entry that is busy notices late.
             self.trackers[one.entry].lose(&instance, &one.parts, at(now));
             entries.insert(one.entry);
         }
@@ -276,6 +273,7 @@
             }
         }
         for entry in entries {
+            // An entry that is busy notices late.
             let delay = self.rng.random_range(20..200);
             let seen = at(now + delay);
             let crash = self.trackers[entry].settle(&process, true, seen);
@@ -351,7 +349,6 @@
 
     fn probe(&mut self, entry: usize, key: &Key, reply: Reply, now: u64) {
         if reply == Reply::Granted {
-            *self.probing.entry(entry).or_default() += 1;
             let parts = vec![key.part.clone(), part(format!("own-probe-{now}"))];
             let is_deadly = key.part.as_str() == "deadly";
             self.send(entry, parts, is_deadly, true, now);
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod common;
+
 use std::time::Duration;
 
 use domain::{
@@ -10,7 +12,7 @@
     instance::{Instance, Phase},
     name,
     quarantine::{Crash, Key, Process, Reply, Suspect, Write},
-    record::{Batch, Cursor, Delta, Record},
+    record::{Delta, Record},
 };
 use policy::{
     crash::{SURVIVAL, Tracker, Verdict},
@@ -282,21 +284,7 @@
 }
 
 fn view(suspects: impl IntoIterator<Item = Suspect>) -> View {
-    let mut view = View::default();
-    view.apply(Batch {
-        is_snapshot: true,
-        deltas: suspects
-            .into_iter()
-            .map(Record::Suspect)
-            .map(Delta::Set)
-            .collect(),
-        revision: Default::default(),
-        commit: 1,
-        cursor: Cursor::default(),
-        age_ms: 0,
-    })
-    .unwrap();
-    view
+    common::view(suspects.into_iter().map(Record::Suspect))
 }
 
 fn parts(names: &[&str]) -> Vec<name::Part> {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -370,11 +370,12 @@
         }
         // A part of the prompt may have come into quarantine while the request waited.
         match self.judge() {
-            Verdict::Refused(left) if !self.is_probe => return Err(quarantined(left)),
-            Verdict::Due { .. } if !self.is_probe => {
+            Verdict::Free => {}
+            _ if self.is_probe => {}
+            Verdict::Refused(left) => return Err(quarantined(left)),
+            Verdict::Due { .. } => {
                 return Err(quarantined(placement::Error::NoInstance.retry_after()));
             }
-            Verdict::Free | Verdict::Refused(_) | Verdict::Due { .. } => {}
         }
         let need = self.need(pinned);
         let chosen = self
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -264,9 +264,9 @@
     /// Takes in what an answer of an instance says of it. `id` is the request that was answered.
     pub fn heed(&self, instance: &Instance, notice: Notice, id: Option<&str>) {
         let now = self.now();
-        let feed = self.feed();
-        let age_ms = feed.bound.age(now).map(|age| age.as_millis() as u64);
         for change in self.place(|placer| placer.heed(instance, notice, now)) {
+            let age = self.feed().bound.age(now);
+            let age_ms = age.map(|age| age.as_millis() as u64);
             let logger = self.journal.logger().new(slog::o!(
                 "instance" => instance.id.to_string(), "born_ms" => instance.born_ms,
                 "service" => instance.service.to_string(), "id" => id.map(str::to_owned),
--- a/crates/relay/src/witness.rs
+++ b/crates/relay/src/witness.rs
@@ -32,10 +32,8 @@
 const COLLECTION: Duration = Duration::from_millis(20);
 /// How long a check may take. An instance that does not answer may be cut off, which is no crash.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// How long a report is repeated: control finds a new leader within a second or two.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// How long a request waits for the leave to be a probe. A grant that comes later is lost.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/crates/relay/tests/whole/broken.rs
+++ b/crates/relay/tests/whole/broken.rs
@@ -6,12 +6,11 @@
 use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
-    task::spawn_local,
+    net::TcpStream,
     time,
 };
 
-use crate::common::{Relay, Upstream, read_head, run};
+use crate::common::{Relay, Upstream, listen, read_head, run};
 
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nid: q\r\nseal: 1\r\ntransfer-encoding: chunked\r\n\r\n";
 const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nid: q\r\nseal: 1\r\n\r\n";
@@ -40,22 +39,16 @@
 
 /// An instance that writes this and then resets the connection.
 async fn resetting(text: &'static str) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    spawn_local(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            spawn_local(async move {
-                read_head(&mut stream).await;
-                stream.write_all(text.as_bytes()).await.unwrap();
-                // The bytes arrive before the reset.
-                time::sleep(Duration::from_millis(30)).await;
-                SockRef::from(&stream)
-                    .set_linger(Some(Duration::ZERO))
-                    .unwrap();
-            });
-        }
-    });
-    address
+    listen(move |mut stream| async move {
+        read_head(&mut stream).await;
+        stream.write_all(text.as_bytes()).await.unwrap();
+        // The bytes arrive before the reset.
+        time::sleep(Duration::from_millis(30)).await;
+        SockRef::from(&stream)
+            .set_linger(Some(Duration::ZERO))
+            .unwrap();
+    })
+    .await
 }
 
 /// Fails where a head that was cut is taken for a shorter one: callers got a success with an empty
--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -109,20 +109,28 @@
 
 impl Upstream {
     pub(crate) async fn start(answers: &[&str]) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
         let heads = Rc::new(RefCell::new(Vec::new()));
         let script: VecDeque<String> = answers.iter().map(|answer| (*answer).to_owned()).collect();
         let (kept, script) = (heads.clone(), Rc::new(RefCell::new(script)));
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                spawn_local(answer(stream, script.clone(), kept.clone()));
-            }
-        });
+        let address = listen(move |stream| answer(stream, script.clone(), kept.clone())).await;
         Self { address, heads }
     }
 }
 
+/// Listens, and answers each connection so.
+pub(crate) async fn listen<F: Future<Output = ()> + 'static>(
+    answer: impl Fn(TcpStream) -> F + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            spawn_local(answer(stream));
+        }
+    });
+    address
+}
+
 /// Answers requests on one connection for as long as an answer says that it is kept.
 async fn answer(
     mut stream: TcpStream,
--- a/crates/relay/tests/whole/ends.rs
+++ b/crates/relay/tests/whole/ends.rs
@@ -1,16 +1,15 @@
 //! A planned end of a relay: what it still takes, and what callers get.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
     sync::oneshot,
-    task::spawn_local,
     time,
 };
 
-use crate::common::{Relay, Upstream, control, read_head, run};
+use crate::common::{Relay, Upstream, control, listen, read_head, run};
 
 const GOOD: &str = "HTTP/1.1 200 OK\r\nid: q\r\nseal: 1\r\ncontent-length: 9\r\n\r\ndata: x\n\n";
 /// The route's timeout is 3 s, and callers of the test wait for 5 s.
@@ -29,18 +28,12 @@
 }
 
 /// An instance that takes requests and never answers.
-async fn silent() -> std::net::SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    spawn_local(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            spawn_local(async move {
-                read_head(&mut stream).await;
-                std::future::pending::<()>().await;
-            });
-        }
-    });
-    address
+async fn silent() -> SocketAddr {
+    listen(|mut stream| async move {
+        read_head(&mut stream).await;
+        std::future::pending().await
+    })
+    .await
 }
 
 /// Fails where a request that comes late in the grace is passed on: its connection was cut without
