--- a/review/stand/common.rs
+++ b/review/stand/common.rs
@@ -129,7 +129,9 @@
     pub fn end(&self, code: i32, why: &str) -> ! {
         self.note(format!("end: {why}"));
         println!("{why}");
-        if let Ok(mut units) = self.units.lock() {
+        // Nobody starts a process from now on.
+        let mut units = self.units.lock();
+        if let Ok(units) = &mut units {
             for unit in units.iter_mut() {
                 let _ = unit.child.kill();
                 let _ = unit.child.wait();
