Remove learners that are gone from the group

Cause: a learner that was gone for good stayed a member. The group dropped one only when another replica joined at its address. At 16 members, dead ones included, admit refused every newcomer, and lost voters found no successors.

Ruled out: voters were replaced as long as newcomers were admitted, and newcomers found the group and asked.

Change: the leader removes a learner that has been silent for ten seconds, after all other changes of members. In a full group the learner that has been silent for longest makes room at once. A leader without contact to its quorum removes none, so that one that was paused does not take its learners for lost. On a related path, links to addresses that are neither members nor seeds are dropped; they dialled for as long as the process ran. No test covers these links.

--- a/crates/control/src/replication/core.rs
+++ b/crates/control/src/replication/core.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, Ref, RefCell, RefMut},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -223,6 +223,19 @@
         }
     }
 
+    /// Drops the links to addresses at which no member or seed is any more. A link that is kept
+    /// dials its address again and again.
+    fn drop_stale_links(&self) {
+        let members = self.replica().members().addresses();
+        let known: BTreeSet<_> = members.values().copied().chain(self.seeds.all()).collect();
+        self.links
+            .borrow_mut()
+            .retain(|address, _| known.contains(address));
+        self.directory
+            .borrow_mut()
+            .retain(|identity, _| members.contains_key(identity));
+    }
+
     fn address_of(&self, identity: Identity) -> Option<SocketAddr> {
         let members = self.replica().members().addresses();
         let known = members.get(&identity).copied();
@@ -239,11 +252,16 @@
         let later = self.waiting.borrow_mut().split_off(&(index + 1));
         let skipped = self.waiting.replace(later);
         fail(skipped);
+        self.drop_stale_links();
     }
 
     fn apply(&self, entry: Entry) {
         let reply = match entry.payload {
-            Payload::Noop | Payload::Members(_) => Ok(Reply::Done),
+            Payload::Noop => Ok(Reply::Done),
+            Payload::Members(_) => {
+                self.drop_stale_links();
+                Ok(Reply::Done)
+            }
             Payload::Command(bytes) => match peer::pack::decode(&bytes) {
                 Ok(command) => {
                     let mut machine = self.machine.borrow_mut();
--- a/crates/policy/src/replica/core.rs
+++ b/crates/policy/src/replica/core.rs
@@ -406,7 +406,7 @@
         self.configuration.record(&entry);
         self.log.push(entry);
         self.unsaved.entries_from(mark.index);
-        self.refresh_progress();
+        self.refresh_progress(now);
         self.send_entries(now);
         mark
     }
--- a/crates/policy/src/replica/leader.rs
+++ b/crates/policy/src/replica/leader.rs
@@ -48,8 +48,7 @@
         let Some(progress) = leader.progress.get_mut(&from) else {
             return;
         };
-        progress.round = progress.round.max(round);
-        progress.answered_at = Some(now);
+        progress.answer(now, round);
         let has_progressed = match is_match {
             true => {
                 progress.snapshot_sent_at = None;
@@ -95,7 +94,7 @@
     }
 
     /// Keeps one [`Progress`] for each other member.
-    pub(super) fn refresh_progress(&mut self) {
+    pub(super) fn refresh_progress(&mut self, now: Instant) {
         let next = self.log.last().index;
         let State::Leader(leader) = &mut self.state else {
             return;
@@ -106,7 +105,7 @@
             leader
                 .progress
                 .entry(*id)
-                .or_insert_with(|| Progress::new(next));
+                .or_insert_with(|| Progress::new(now, next));
         }
     }
 
--- a/crates/policy/src/replica/membership.rs
+++ b/crates/policy/src/replica/membership.rs
@@ -11,6 +11,9 @@
 
 /// Maximum number of replicas in a group.
 pub const MAX_MEMBERS: usize = 16;
+/// How long a learner may be silent before it is removed. It is longer than a restart takes. A
+/// removed learner that comes back asks to be admitted again.
+pub const LEARNER_SILENCE: Duration = Duration::from_secs(10);
 
 /// Whether learners that have caught up become voters without a request from an operator.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -67,7 +70,8 @@
 
 impl Replica {
     /// Admits a replica as a learner. Once its durable log has caught up it replaces a voter: the
-    /// one that the request names, or the one that was at its address before.
+    /// one that the request names, or the one that was at its address before. In a full group, the
+    /// learner that has been silent for longest makes room, if it is out of contact.
     ///
     /// # Errors
     ///
@@ -98,9 +102,10 @@
             () if !self.can_change() => return Err(Refusal::Busy),
             () => {}
         }
-        let members = with_learner(members.clone(), request, target);
+        let mut members = with_learner(members.clone(), request, target);
         if members.addresses().len() > MAX_MEMBERS {
-            return Err(Refusal::Full);
+            let silent = self.silent_learner(now, self.timing.election());
+            members = without_learner(members, silent.ok_or(Refusal::Full)?);
         }
         self.append(now, Payload::Members(members));
         Ok(Admission::Learner)
@@ -145,6 +150,9 @@
             self.append(now, Payload::Members(members));
         } else if let Some(members) = self.promote(now) {
             self.append(now, Payload::Members(members));
+        } else if let Some(silent) = self.silent_learner(now, LEARNER_SILENCE) {
+            let members = without_learner(members.clone(), silent);
+            self.append(now, Payload::Members(members));
         }
     }
 
@@ -169,17 +177,30 @@
 
     /// A voter that has not answered for `silence` since this replica became the leader.
     fn silent_voter(&self, now: Instant, silence: Duration) -> Option<Identity> {
-        let State::Leader(leader) = &self.state else {
-            return None;
-        };
-        let is_silent = |id: &Identity| {
-            leader.progress.get(id).is_some_and(|progress| {
-                let contact_at = progress.answered_at.unwrap_or(leader.elected_at);
-                now.since(contact_at.max(leader.elected_at)) >= silence
-            })
-        };
-        let mut voters = self.configuration.current().voters.keys();
-        voters.find(|id| is_silent(id)).copied()
+        let mut voters = self.configuration.current().voters.keys().copied();
+        voters.find(|id| self.silence(now, *id) >= silence)
+    }
+
+    /// The learner that has been silent for longest, if it has not answered for `silence` since
+    /// this replica became the leader. There is none while the leader itself is out of contact
+    /// with a quorum, for example after it was paused.
+    fn silent_learner(&self, now: Instant, silence: Duration) -> Option<Identity> {
+        let learners = self.configuration.current().learners.keys().copied();
+        learners
+            .filter(|id| self.has_leader(now) && self.silence(now, *id) >= silence)
+            .max_by_key(|id| self.silence(now, *id))
+    }
+
+    /// How long a follower of this leader has not answered.
+    fn silence(&self, now: Instant, follower: Identity) -> Duration {
+        match &self.state {
+            State::Leader(leader) => leader
+                .progress
+                .get(&follower)
+                .map(|progress| now.since(progress.contact_at))
+                .unwrap_or_default(),
+            _ => Duration::ZERO,
+        }
     }
 
     /// Learners that hold all committed entries and have answered within the election timeout.
@@ -244,6 +265,13 @@
     members
 }
 
+/// Removes a learner, and its claim to a voter.
+fn without_learner(mut members: Members, learner: Identity) -> Members {
+    members.learners.remove(&learner);
+    members.swaps.remove(&learner);
+    members
+}
+
 /// Replaces the voter `old` by a learner. Decisions need majorities of both sets of voters (joint
 /// consensus) until the next change is committed. For A, B, C → A, B, D the old majority {B, C}
 /// and the new majority {A, D} would otherwise have no replica in common.
--- a/crates/policy/src/replica/mod.rs
+++ b/crates/policy/src/replica/mod.rs
@@ -21,7 +21,7 @@
 mod timing;
 
 pub use self::core::{Endpoint, NotLeader, Replica, Role};
-pub use membership::{Admission, JoinRequest, MAX_MEMBERS, Promotion, Refusal};
+pub use membership::{Admission, JoinRequest, LEARNER_SILENCE, MAX_MEMBERS, Promotion, Refusal};
 pub use output::{Batch, Ready, Synced, Write};
 pub use progress::Confirmed;
 pub use saved::{HardState, Saved};
--- a/crates/policy/src/replica/progress.rs
+++ b/crates/policy/src/replica/progress.rs
@@ -20,20 +20,30 @@
     pub(super) round: u64,
     /// When the follower last answered.
     pub(super) answered_at: Option<Instant>,
+    /// When the follower last answered, or was added.
+    pub(super) contact_at: Instant,
     /// When the last snapshot was sent, until the follower has answered.
     pub(super) snapshot_sent_at: Option<Instant>,
 }
 
 impl Progress {
-    pub(super) fn new(next: u64) -> Self {
+    pub(super) fn new(now: Instant, next: u64) -> Self {
         Self {
             matched: 0,
             next,
             round: 0,
             answered_at: None,
+            contact_at: now,
             snapshot_sent_at: None,
         }
     }
+
+    /// Notes an answer of the follower.
+    pub(super) fn answer(&mut self, now: Instant, round: u64) {
+        self.round = self.round.max(round);
+        self.answered_at = Some(now);
+        self.contact_at = now;
+    }
 }
 
 /// A heartbeat round that no quorum has answered yet.
@@ -64,8 +74,6 @@
     /// not know the commit index of the former leaders and confirms no round.
     pub(super) term_start: u64,
     pub(super) heartbeat_at: Instant,
-    /// When the replica became the leader.
-    pub(super) elected_at: Instant,
     /// When the newest round that a quorum answered was opened, or when the replica became the
     /// leader.
     pub(super) quorum_at: Instant,
@@ -80,7 +88,6 @@
             progress: BTreeMap::new(),
             term_start,
             heartbeat_at: now,
-            elected_at: now,
             quorum_at: now,
             confirmed: None,
             round: 0,
--- a/crates/policy/tests/replica_rules.rs
+++ b/crates/policy/tests/replica_rules.rs
@@ -2,14 +2,15 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::{collections::BTreeMap, convert::Infallible, net::SocketAddr};
+use std::{collections::BTreeMap, convert::Infallible, net::SocketAddr, time::Duration};
 
 use domain::{
     clock::Instant,
     replica::{Body, Entry, Identity, Members, Message, Payload, Position},
 };
 use policy::replica::{
-    Endpoint, HardState, Replica, Role, Saved, Timing,
+    Admission, Endpoint, HardState, JoinRequest, LEARNER_SILENCE, MAX_MEMBERS, Refusal, Replica,
+    Role, Saved, Timing,
     bootstrap::{self, Probe, Step},
 };
 use rand::{SeedableRng, rngs::StdRng};
@@ -439,3 +440,114 @@
     leader.tick(later);
     assert!(!pump(&mut leader, later).is_empty(), "it campaigns again");
 }
+
+/// Lets the leader run for `span`, with the given followers answering and all others silent.
+fn run(leader: &mut Replica, from: Instant, span: Duration, answering: &[Identity]) -> Instant {
+    let end = from + span;
+    let mut now = from;
+    while now < end {
+        now = now + Duration::from_millis(50);
+        leader.tick(now);
+        let mut messages = pump(leader, now);
+        while let Some(Message { to, term, body, .. }) = messages.pop() {
+            let Body::Append {
+                prev,
+                entries,
+                round,
+                ..
+            } = body
+            else {
+                continue;
+            };
+            let reply = Body::AppendReply {
+                is_match: true,
+                index: prev.index + entries.len() as u64,
+                round,
+            };
+            if answering.contains(&to) {
+                messages.extend(step(leader, now, message(to, A, term, reply)));
+            }
+        }
+    }
+    now
+}
+
+fn admit(leader: &mut Replica, now: Instant, identity: Identity) -> Result<Admission, Refusal> {
+    let request = JoinRequest {
+        identity,
+        address: address(identity),
+        replaces: None,
+    };
+    leader.admit(now, request)
+}
+
+/// Guards against machines that are gone for good filling up the group, after which it admits no
+/// successors.
+#[test]
+fn replaced_learners_make_room_for_their_successors() {
+    let cases = [
+        (2 * LEARNER_SILENCE, "one after another"),
+        (
+            Duration::from_secs(1),
+            "faster than the silent ones are removed",
+        ),
+    ];
+    for (pause, what) in cases {
+        let mut leader = replica(A, 3, &[]);
+        let mut now = elect(&mut leader);
+        now = run(&mut leader, now, Duration::from_secs(1), &[B, C]);
+        for number in 10..60 {
+            let admission = admit(&mut leader, now, Identity(number));
+            assert_eq!(admission, Ok(Admission::Learner), "{number}, {what}");
+            now = run(&mut leader, now, pause, &[B, C, Identity(number)]);
+            let members = leader.members();
+            assert!(members.addresses().len() <= MAX_MEMBERS, "{what}");
+            assert!(members.learners.contains_key(&Identity(number)), "{what}");
+        }
+        run(&mut leader, now, 2 * LEARNER_SILENCE, &[B, C]);
+        assert_eq!(leader.members().learners, BTreeMap::new(), "{what}");
+    }
+}
+
+#[test]
+fn learners_that_answer_keep_their_places_in_a_full_group() {
+    let mut leader = replica(A, 3, &[]);
+    let mut now = elect(&mut leader);
+    let mut answering = vec![B, C];
+    now = run(&mut leader, now, Duration::from_secs(1), &answering);
+    for number in 4..=MAX_MEMBERS as u64 {
+        admit(&mut leader, now, Identity(number)).unwrap();
+        answering.push(Identity(number));
+        now = run(&mut leader, now, Duration::from_secs(1), &answering);
+    }
+    now = run(&mut leader, now, 2 * LEARNER_SILENCE, &answering);
+    let refused = admit(&mut leader, now, Identity(60));
+    assert_eq!(refused, Err(Refusal::Full));
+    assert_eq!(leader.members().addresses().len(), MAX_MEMBERS);
+}
+
+/// Guards against a leader that was paused taking all its learners for lost ones.
+#[test]
+fn a_leader_out_of_contact_removes_no_learner() {
+    let mut leader = replica(A, 3, &[]);
+    let mut now = elect(&mut leader);
+    now = run(&mut leader, now, Duration::from_secs(1), &[B, C]);
+    admit(&mut leader, now, Identity(10)).unwrap();
+    now = run(
+        &mut leader,
+        now,
+        Duration::from_secs(1),
+        &[B, C, Identity(10)],
+    );
+    let woken = now + 2 * LEARNER_SILENCE;
+    let (index, term) = (leader.commit(), leader.term());
+    let reply = Body::AppendReply {
+        is_match: true,
+        index,
+        round: 1,
+    };
+    leader.propose(woken, vec![1]).unwrap();
+    step(&mut leader, woken, message(B, A, term, reply));
+    let learners = &leader.members().learners;
+    assert!(learners.contains_key(&Identity(10)), "{learners:?}");
+}
