Refuse edits that were held up while later ones were made

Cause: a follower passes an order on to the leader over a connection. A one-way partition held the bytes up, the follower answered 503 after 0.9 s, and the operator went on to other replicas. The order arrived when packets passed again. It had an id that nobody had seen and no base revision, so the leader committed it as a new edit.

Ruled out: entries with an old list, which followed the leader's feed. A reset instead of an orderly close takes back nothing that has left the machine, and a replica that was paused sends its order when it wakes.

Change: a command carries the revision that its replica knew when the edit came in. The state keeps the latest edit of each zone, upstream and halted rollout; an edit whose subject was changed after that revision is a conflict and changes nothing, unless it asks for what is in force.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -13,6 +13,7 @@
 use domain::{
     clock::{Clock, Instant},
     command::{Command, Reply},
+    edit::Outcome,
     instance::Write,
     name,
     record::{Batch, Cursor, Delta, Key, Record, Routing},
@@ -140,6 +141,10 @@
     /// Applies one committed command.
     pub fn apply(&self, term: u64, index: u64, command: Command) -> Reply {
         self.hear(&command);
+        let id = match &command {
+            Command::Edit { edit, .. } => Some(edit.id.clone()),
+            _ => None,
+        };
         let (applied, is_rerouted) = {
             let mut state = self.state.borrow_mut();
             let before = state.routing().cloned();
@@ -147,6 +152,7 @@
             (applied, state.routing() != before.as_ref())
         };
         self.applied.replace(index);
+        self.log_conflict(id.as_deref(), &applied.reply);
         self.log_quarantine(&applied.deltas);
         self.entries.apply(applied.deltas.iter().cloned());
         let for_agents = |delta: &Delta| match delta {
@@ -162,6 +168,14 @@
         applied.reply
     }
 
+    /// Logs an edit that came after another one. Nobody may be waiting for its answer any more.
+    fn log_conflict(&self, id: Option<&str>, reply: &Reply) {
+        if let Reply::Edit(Outcome::Conflict { revision, winner }) = reply {
+            info!(self.logger, "edit: another one came first"; "edit" => id,
+                "revision" => revision.0, "winner" => &**winner);
+        }
+    }
+
     /// Tells of parts that come into quarantine or leave it.
     fn log_quarantine(&self, deltas: &[Delta]) {
         for delta in deltas {
--- a/crates/control/src/edits.rs
+++ b/crates/control/src/edits.rs
@@ -45,6 +45,7 @@
     if let Some(answer) = core.state().answer(&edit) {
         return Ok(answer);
     }
+    let seen = core.state().revision();
     if let Change::Routing(document) = &edit.change
         && let Err(violations) = read_routing(&core, document)
     {
@@ -61,6 +62,7 @@
         pins: reading.pins,
         objections: reading.objections.into_iter().chain(objections).collect(),
         at_ms: core.clock.wall_ms(),
+        seen: Some(seen),
     };
     let answer = match core.submit(command).await {
         Ok(Reply::Edit(answer)) => Ok(answer),
--- a/crates/domain/src/command.rs
+++ b/crates/domain/src/command.rs
@@ -18,6 +18,11 @@
         objections: Vec<Violation>,
         /// When the leader took it, in milliseconds since the Unix epoch.
         at_ms: u64,
+        /// The revision of the replica that received the edit, at that time. If what the edit
+        /// changes has been changed since, the edit was held up on its way and must not undo the
+        /// later one.
+        #[serde(default)]
+        seen: Option<edit::Revision>,
     },
     /// A write to the ledger.
     Ledger {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -6,6 +6,7 @@
 
 mod check;
 mod diff;
+mod latest;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -73,6 +74,8 @@
     #[serde(default)]
     quarantine: quarantine::Table,
     answers: BTreeMap<Arc<str>, Decision>,
+    #[serde(default)]
+    latest: latest::Table,
     history: VecDeque<Event>,
     /// The latest time of any command, in milliseconds since the Unix epoch.
     clock_ms: u64,
@@ -177,9 +180,16 @@
                 pins,
                 objections,
                 at_ms,
+                seen,
             } => {
                 let at_ms = self.advance_clock(at_ms);
-                self.edit(fence, &edit, &pins, objections, at_ms)
+                match self.overtaken(&edit, seen) {
+                    Some(answer) => Applied {
+                        reply: Reply::Edit(answer),
+                        deltas: Vec::new(),
+                    },
+                    None => self.edit(fence, &edit, &pins, objections, at_ms),
+                }
             }
             Command::Ledger {
                 write,
@@ -234,6 +244,32 @@
         self.ledger.expire(horizon_ms);
         self.answers
             .retain(|_, decision| decision.at_ms >= horizon_ms);
+        self.latest.expire(horizon_ms);
+    }
+
+    /// The outcome of an edit whose subject was changed after the edit was sent: a conflict,
+    /// unless what the edit sets is in force. It is not recorded, because the operator may send
+    /// the edit again after reading what is in force.
+    fn overtaken(&self, edit: &Edit, seen: Option<Revision>) -> Option<Outcome> {
+        let conflict = self.latest.conflict(&edit.change, seen?)?;
+        let revision = self.revision;
+        match self.answer(edit) {
+            Some(answer) => Some(answer),
+            None if self.is_in_force(&edit.change) => Some(Outcome::Accepted { revision }),
+            None => Some(conflict),
+        }
+    }
+
+    /// Whether a zone or upstream already is as the change sets it.
+    fn is_in_force(&self, change: &Change) -> bool {
+        match change {
+            Change::Zone { zone, in_service } => self.zones_out.contains(zone) != *in_service,
+            Change::Drain { vm, is_draining } => self.drains.contains(vm) == *is_draining,
+            Change::Lists(_)
+            | Change::Resume { .. }
+            | Change::Routing(_)
+            | Change::Target { .. } => false,
+        }
     }
 
     fn edit(
@@ -294,6 +330,8 @@
         let deltas = self.change(fence, &edit.change, pins);
         self.revision = Revision(self.revision.0 + 1);
         self.winner = Some(edit.id.clone());
+        self.latest
+            .record(&edit.change, self.revision, &edit.id, at_ms);
         self.record(edit, at_ms);
         let accepted = Outcome::Accepted {
             revision: self.revision,
--- a/crates/policy/tests/state.rs
+++ b/crates/policy/tests/state.rs
@@ -67,6 +67,7 @@
         pins,
         objections: Vec::new(),
         at_ms: 5,
+        seen: None,
     }
 }
 
@@ -146,6 +147,85 @@
     assert_eq!(state.revision(), Revision(2));
 }
 
+fn seen(revision: u64, id: &str, change: Change) -> Command {
+    match command(edit(id, None, change)) {
+        Command::Edit {
+            edit,
+            pins,
+            objections,
+            at_ms,
+            ..
+        } => Command::Edit {
+            edit,
+            pins,
+            objections,
+            at_ms,
+            seen: Some(Revision(revision)),
+        },
+        command => command,
+    }
+}
+
+fn drain(is_draining: bool) -> Change {
+    Change::Drain {
+        vm: "vm-1".into(),
+        is_draining,
+    }
+}
+
+/// Guards against an edit that a partition held up undoing a later edit that was acknowledged.
+#[test]
+fn edit_that_was_held_up_does_not_undo_a_later_one() {
+    for (set, unset) in [(zone(false), zone(true)), (drain(true), drain(false))] {
+        let mut state = State::new();
+        assert_eq!(
+            submit(&mut state, 1, seen(0, "out", set.clone())),
+            accepted(1)
+        );
+        let held_up = seen(1, "held up", unset.clone());
+        let resent = seen(1, "resent", unset.clone());
+        assert_eq!(submit(&mut state, 2, resent), accepted(2));
+        assert_eq!(
+            submit(&mut state, 3, seen(2, "out again", set.clone())),
+            accepted(3)
+        );
+        let conflict = Outcome::Conflict {
+            revision: Revision(3),
+            winner: "out again".into(),
+        };
+        let before = state.clone();
+        assert_eq!(submit(&mut state, 4, held_up), conflict, "{unset:?}");
+        assert_eq!(state, before);
+        // The operator has read what is in force, and decides again.
+        let again = seen(3, "held up", unset.clone());
+        assert_eq!(submit(&mut state, 5, again), accepted(4));
+    }
+}
+
+#[test]
+fn edits_that_came_late_and_change_nothing_are_accepted() {
+    let mut state = State::new();
+    assert_eq!(
+        submit(&mut state, 1, seen(0, "out", zone(false))),
+        accepted(1)
+    );
+    assert_eq!(
+        submit(&mut state, 2, seen(0, "out too", zone(false))),
+        accepted(1),
+        "the zone is out"
+    );
+    assert_eq!(
+        submit(&mut state, 3, seen(0, "drain", drain(true))),
+        accepted(2),
+        "edits of another subject are no conflict"
+    );
+    assert_eq!(
+        submit(&mut state, 4, seen(1, "out", zone(false))),
+        accepted(1),
+        "a resend gets the first outcome"
+    );
+}
+
 #[test]
 fn invalid_edit_is_refused_with_all_paths() {
     let mut wrong = lists(&["1", "1"]);
@@ -204,6 +284,7 @@
         pins: Pins::new(),
         objections: Vec::new(),
         at_ms,
+        seen: None,
     };
     let expire = |before_ms| Command::Expire { before_ms };
     let mut state = State::new();
@@ -232,6 +313,7 @@
         pins: Pins::new(),
         objections: Vec::new(),
         at_ms: 0,
+        seen: None,
     };
     assert_eq!(paths(&submit(&mut state, 1, without_pin)), ["$.plans"]);
     let with_objection = Command::Edit {
@@ -239,6 +321,7 @@
         pins: Pins::new(),
         objections: vec![Violation::new("$.change.zone.zone", "nothing left")],
         at_ms: 0,
+        seen: None,
     };
     let answer = submit(&mut state, 2, with_objection);
     assert_eq!(paths(&answer), ["$.change.zone.zone"]);
