Test disks that are full one after another

Reported by another operator: the disks of counted machines were full for a few seconds each, never two at once, and long after that changes were refused or stayed unanswered while all processes ran.

Not seen here. The simulation of the log had no full disks. It now has them, as a random fault over 96 seeds beside crashes, lost disks, pauses, cuts and replaced voters, and in turn over all replicas, with changes all the while, for groups of three and of five with a spare.

--- a/crates/policy/tests/replica/host.rs
+++ b/crates/policy/tests/replica/host.rs
@@ -1,6 +1,6 @@
 //! A simulated VM with a replica and its disk.
 
-use std::{convert::Infallible, net::SocketAddr};
+use std::{convert::Infallible, net::SocketAddr, time::Duration};
 
 use domain::{
     clock::Instant,
@@ -14,6 +14,9 @@
 
 use crate::history::{History, decode, encode, number};
 
+/// The longest pause before a write that found no room is tried again.
+const MAX_RETRY: Duration = Duration::from_millis(200);
+
 /// A write in progress.
 pub(crate) struct Writing {
     write: Write,
@@ -28,6 +31,7 @@
     pub(crate) writing: Option<Writing>,
     pub(crate) numbers: Vec<u64>,
     pub(crate) frozen_until: Instant,
+    pub(crate) full_until: Instant,
     pub(crate) bound: Bound,
     pub(crate) promotion: Promotion,
 }
@@ -42,6 +46,7 @@
             writing: None,
             numbers: Vec::new(),
             frozen_until: Instant::ZERO,
+            full_until: Instant::ZERO,
             bound: Bound::UNKNOWN,
             promotion: Promotion::Manual,
         }
@@ -98,6 +103,14 @@
         self.identity = identity;
     }
 
+    /// Gives the disk room. A write in progress completes soon.
+    pub(crate) fn free_disk(&mut self, now: Instant) {
+        self.full_until = now;
+        if let Some(writing) = &mut self.writing {
+            writing.done_at = writing.done_at.min(now + MAX_RETRY);
+        }
+    }
+
     /// Completes the write in progress and confirms it to the replica.
     pub(crate) fn finish_write(&mut self, now: Instant) {
         let Some(writing) = self.writing.take() else {
@@ -147,7 +160,10 @@
             }
             if let Some(write) = ready.write {
                 assert!(self.writing.is_none(), "two writes at once");
-                let done_at = write_done_at;
+                if self.full_until > now {
+                    replica.stall(now);
+                }
+                let done_at = write_done_at.max(self.full_until);
                 self.writing = Some(Writing { write, done_at });
             }
             messages.extend(ready.messages);
--- a/crates/policy/tests/replica/main.rs
+++ b/crates/policy/tests/replica/main.rs
@@ -65,6 +65,35 @@
     }
 }
 
+/// Guards against a group that commits nothing, or loses entries, after full disks.
+#[test]
+fn full_disks_keep_invariants() {
+    for seed in 0..96 {
+        let mut simulation = Simulation::new(seed, Plan::draw_with_full_disks(seed));
+        if seed % 3 == 0 {
+            simulation = simulation.with_promotion();
+        }
+        simulation.run();
+        simulation.heal();
+    }
+}
+
+/// Guards against changes that stay unanswered for good after the disks of all replicas were full
+/// for some seconds each, never two at once.
+#[test]
+fn disks_full_one_after_another_end_no_changes() {
+    let millis = Duration::from_millis;
+    for seed in 0..4 {
+        for (voters, spares) in [(3, 0), (5, 1)] {
+            for pause in [millis(50), millis(3_000)] {
+                Simulation::new(seed, Plan::calm_with_spares(voters, spares))
+                    .with_promotion()
+                    .fill_disks_in_turn(millis(3_000), pause);
+            }
+        }
+    }
+}
+
 #[test]
 fn leader_without_inbound_messages_is_replaced() {
     for seed in 0..10 {
--- a/crates/policy/tests/replica/plan.rs
+++ b/crates/policy/tests/replica/plan.rs
@@ -17,6 +17,7 @@
     pub(crate) crash: f64,
     pub(crate) lose_disk: f64,
     pub(crate) freeze: f64,
+    pub(crate) fill_disk: f64,
     pub(crate) partition: f64,
     pub(crate) replace: f64,
     pub(crate) propose: f64,
@@ -38,6 +39,7 @@
             crash: 0.0,
             lose_disk: 0.0,
             freeze: 0.0,
+            fill_disk: 0.0,
             partition: 0.0,
             replace: 0.0,
             propose: 0.0,
@@ -63,6 +65,14 @@
         }
     }
 
+    /// A random plan in which disks are full from time to time.
+    pub(crate) fn draw_with_full_disks(seed: u64) -> Self {
+        Self {
+            fill_disk: [0.002, 0.01][usize::from(seed.is_multiple_of(2))],
+            ..Self::draw(seed)
+        }
+    }
+
     /// A random plan.
     pub(crate) fn draw(seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed ^ 0x9e37_79b9_7f4a_7c15);
@@ -79,6 +89,7 @@
             crash: pick(&mut rng, [0.0, 0.002, 0.01]),
             lose_disk: pick(&mut rng, [0.0, 0.001, 0.005]),
             freeze: pick(&mut rng, [0.0, 0.002, 0.01]),
+            fill_disk: 0.0,
             partition: pick(&mut rng, [0.0, 0.005, 0.02]),
             replace: pick(&mut rng, [0.0, 0.005, 0.02]),
             propose: pick(&mut rng, [0.05, 0.2, 0.8]),
--- a/crates/policy/tests/replica/simulation.rs
+++ b/crates/policy/tests/replica/simulation.rs
@@ -167,6 +167,21 @@
         );
     }
 
+    /// Fills the disks of all hosts, one after another and never two at once, with changes all the
+    /// while. Expects that each change made after the last disk has room is committed.
+    pub(crate) fn fill_disks_in_turn(&mut self, span: Duration, pause: Duration) {
+        self.wait_for_leader(None);
+        for index in (0..self.hosts.len()).chain(0..self.hosts.len()) {
+            self.hosts[index].full_until = self.now + span;
+            let end = self.now + span + pause;
+            while self.now < end {
+                self.propose_at_leader();
+                self.step();
+            }
+        }
+        self.heal();
+    }
+
     /// Stops and restarts all replicas at the same moment. Returns the time until there is a
     /// leader.
     pub(crate) fn restart_all(&mut self) -> Duration {
@@ -203,9 +218,10 @@
         self.plan.max_delay_ms = self.plan.max_delay_ms.min(20);
         self.plan.max_write_ms = self.plan.max_write_ms.min(20);
         let now = self.now;
-        self.hosts
-            .iter_mut()
-            .for_each(|host| host.frozen_until = now);
+        self.hosts.iter_mut().for_each(|host| {
+            host.frozen_until = now;
+            host.free_disk(now);
+        });
         let end = self.now + RECOVERY_TIMEOUT;
         let mut proposed = None;
         let mut propose_at = self.now;
@@ -283,7 +299,8 @@
         let span = Duration::from_millis(self.rng.random_range(1..15));
         self.now = self.now + span;
         for index in 0..self.hosts.len() {
-            if self.hosts[index].replica.is_none() && (self.is_healed || self.chance(0.05)) {
+            let is_stopped = self.hosts[index].replica.is_none();
+            if is_stopped && (self.is_healed || self.chance(0.05)) {
                 let (now, timing) = (self.now, self.timing);
                 self.hosts[index].start(now, timing, &mut self.rng);
             }
