Bound what unfinished answers of an upstream take together

Reported by another operator: a faulty instance wrote without end, the machine that had called it ran out of memory, and other clients' requests ended with it.

Cause here: the product's agent bounded each answer of its service to 16 MiB but not all of them together. The platform's path had such a bound.

The tests of bytes without end read the resident memory after the calls had ended and were blind to it. They now reset and read the most that was held, which is stricter, and hold a lock so that they don't measure each other.

The test of the relay passes with the stricter measure, without a change of the relay.

--- a/crates/relay/tests/endless.rs
+++ b/crates/relay/tests/endless.rs
@@ -3,7 +3,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Mutex, time::Duration};
 
 #[allow(dead_code)]
 #[path = "whole/common.rs"]
@@ -133,15 +133,26 @@
     (status, tail == b"0\r\n\r\n")
 }
 
-/// The memory that the process holds, in bytes.
-fn resident() -> usize {
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap();
-    let pages: usize = text.split(' ').nth(1).unwrap().parse().unwrap();
-    pages * 4_096
+/// Held by the test that measures memory, because the others of this file would add to it.
+static MEASURED: Mutex<()> = Mutex::new(());
+
+/// Forgets the most memory that the process has held so far, and returns what it holds, in bytes.
+fn reset_peak() -> usize {
+    std::fs::write("/proc/self/clear_refs", "5").unwrap();
+    peak()
+}
+
+/// The most memory that the process has held since [`reset_peak`], in bytes.
+fn peak() -> usize {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = text.lines().find(|line| line.starts_with("VmHWM:"));
+    let kilobytes = line.unwrap().split_whitespace().nth(1).unwrap();
+    kilobytes.parse::<usize>().unwrap() * 1_024
 }
 
 #[test]
 fn answers_without_end_cost_bounded_memory_and_time() {
+    let _measured = MEASURED.lock();
     run(async {
         for (name, beginning, fill, paths) in CASES {
             // As many bytes at once as a fast link carries.
@@ -149,10 +160,10 @@
             for path in paths {
                 let endless = Endless::start(beginning, fill).await;
                 let relay = Relay::start(&[endless.address]);
-                let before = resident();
+                let before = reset_peak();
                 let requests = (0..REQUESTS).map(|_| send_briefly(relay.address, path));
                 let answers = future::join_all(requests).await;
-                let growth = resident().saturating_sub(before);
+                let growth = peak().saturating_sub(before);
                 let case = format!("{name} on {path}: {answers:?}");
                 assert!(growth < MAX_GROWTH, "{case}: {growth} bytes");
                 // A request that was refused as not run was never sent, and any other one was.
@@ -171,6 +182,7 @@
 /// A caller of a sound instance gets its answer while another instance writes without end.
 #[test]
 fn other_requests_go_on_beside_an_answer_without_end() {
+    let _measured = MEASURED.lock();
     run(async {
         let fill: &'static str = "8\r\nxxxxxxxx\r\n".repeat(4_096).leak();
         let endless = Endless::start(CHUNKED, fill).await;
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -12,7 +12,10 @@
 use tokio::{net::TcpStream, time};
 use tokio_util::sync::CancellationToken;
 
-use crate::error::{BrokenSnafu, ConnectSnafu, Error, SilentSnafu, Step};
+use crate::{
+    body::Kept,
+    error::{BrokenSnafu, ConnectSnafu, Error, SilentSnafu, Step},
+};
 
 /// Loopback answers a connection attempt at once or never.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -37,6 +40,7 @@
     peer: SocketAddr,
     patience: Duration,
     idle: Arc<Mutex<Vec<Connection>>>,
+    kept: Kept,
 }
 
 /// An open connection.
@@ -125,6 +129,7 @@
             peer,
             patience,
             idle: Arc::default(),
+            kept: Kept::default(),
         }
     }
 
@@ -138,6 +143,11 @@
         self.patience
     }
 
+    /// The bytes of unfinished answers, counted over all connections.
+    pub fn kept(&self) -> &Kept {
+        &self.kept
+    }
+
     /// Sends a request and waits for the answer's head.
     ///
     /// # Errors
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -158,7 +158,7 @@
     let request = json_request(Method::POST, "/orders", peer, command)?;
     let Exchange { response, .. } = pool.send(request, Freshness::Fresh).await?;
     let status = response.status();
-    let text = body::whole(response.into_body(), peer, pool.patience()).await?;
+    let text = body::whole(pool.kept(), response.into_body(), peer, pool.patience()).await?;
     match status {
         StatusCode::OK => Ok(()),
         StatusCode::CONFLICT => {
@@ -248,7 +248,8 @@
         let status = response.status();
         if status != StatusCode::OK {
             guard.attempt_text.clear();
-            let text = body::whole(response.into_body(), peer, guard.pool.patience()).await?;
+            let (kept, patience) = (guard.pool.kept(), guard.pool.patience());
+            let text = body::whole(kept, response.into_body(), peer, patience).await?;
             return refused(peer, status, &text);
         }
         let (head, body) = response.into_parts();
@@ -383,7 +384,8 @@
         let Ok(Ok(exchange)) = tokio::time::timeout(CANCEL_TIMEOUT, exchange).await else {
             return;
         };
-        let answer = body::whole(exchange.response.into_body(), peer, CANCEL_TIMEOUT).await;
+        let body = exchange.response.into_body();
+        let answer = body::whole(pool.kept(), body, peer, CANCEL_TIMEOUT).await;
         if answer.is_ok() {
             pool.put(exchange.connection);
         }
--- a/crates/upstream/src/monitor.rs
+++ b/crates/upstream/src/monitor.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    body,
+    body::{self, Kept},
     connection::Connection,
     engine::{State, refused},
     error::{Error, MalformedSnafu, UnsentSnafu},
@@ -31,6 +31,7 @@
     connection: Connection,
     peer: SocketAddr,
     patience: Duration,
+    kept: Kept,
 }
 
 impl Line {
@@ -40,6 +41,7 @@
             connection,
             peer,
             patience,
+            kept: Kept::default(),
         }
     }
 
@@ -57,7 +59,8 @@
         let sent = self.connection.send(peer, request, self.patience).await;
         let response = sent.map_err(|(error, _)| error)?;
         let status = response.status();
-        let text = body::whole(response.into_body(), peer, self.patience).await?;
+        let body = response.into_body();
+        let text = body::whole(&self.kept, body, peer, self.patience).await?;
         if !status.is_success() {
             return refused(peer, status, &text);
         }
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 
 use crate::{
-    body,
+    body::{self, Kept},
     connection::{Connection, Exchange, Freshness, Outgoing, Pool},
     error::{Error, TruncatedSnafu, UnsentSnafu},
     monitor::{self, Monitor},
@@ -104,7 +104,8 @@
             connection,
         } = sent.inspect_err(|_| self.pool.clear())?;
         let has_echo = check_echo(peer, &attempt, response.headers(), freshness)?;
-        let answer = read(peer, &method, response, self.pool.patience()).await?;
+        let (kept, patience) = (self.pool.kept(), self.pool.patience());
+        let answer = read(kept, peer, &method, response, patience).await?;
         self.echoes.store(has_echo, Ordering::Relaxed);
         if has_echo {
             self.pool.put(connection);
@@ -135,6 +136,7 @@
 
 /// Reads an answer whole.
 async fn read(
+    kept: &Kept,
     peer: SocketAddr,
     method: &Method,
     response: Response<Incoming>,
@@ -145,7 +147,7 @@
         let detail = "neither a length nor a last chunk";
         return TruncatedSnafu { peer, detail }.fail();
     }
-    let body = body::whole(body, peer, patience).await?;
+    let body = body::whole(kept, body, peer, patience).await?;
     Ok(Answer {
         status: head.status,
         content_type: head.headers.get(http_header::CONTENT_TYPE).cloned(),
@@ -158,6 +160,7 @@
     connection: Connection,
     peer: SocketAddr,
     patience: Duration,
+    kept: Kept,
 }
 
 impl Opened {
@@ -168,7 +171,7 @@
         let sent = self.connection.send(peer, request, self.patience).await;
         let response = sent.map_err(|(error, _)| error)?;
         check_echo(peer, &attempt, response.headers(), Freshness::Fresh)?;
-        read(peer, &method, response, self.patience).await
+        read(&self.kept, peer, &method, response, self.patience).await
     }
 }
 
@@ -185,12 +188,14 @@
 
     fn open(&self) -> BoxFuture<'static, Result<Box<dyn Line>, Error>> {
         let (peer, patience) = (self.pool.peer(), self.pool.patience());
+        let kept = self.pool.kept().clone();
         Box::pin(async move {
             let connection = Connection::open(peer).await?;
             Ok(Box::new(Opened {
                 connection,
                 peer,
                 patience,
+                kept,
             }) as Box<dyn Line>)
         })
     }
