Read little from a peer before it has answered the login

A process of the system that dials an address which another program has by now took whatever message that program announced, up to 64 MiB a connection. Found by the stricter measure of memory in the tests of bytes without end.

Change: until the login is answered, at most 64 KiB are read.

Before: sessions_with_a_peer_that_writes_without_end_fail_in_bounds failed, `a segment without end: bytes` for 8 sessions. After: it passes. Ruled out: a lower limit for all messages, since chunks may have 16 MiB. Inbound connections are unchanged.

--- a/crates/peer/src/connection.rs
+++ b/crates/peer/src/connection.rs
@@ -1,11 +1,26 @@
 //! Connections: dialling, login, and calls with a timeout.
 
-use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    future::Future,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
 use futures::{FutureExt, StreamExt, stream::FuturesUnordered};
 use snafu::ResultExt;
-use tokio::{net::TcpStream, task::JoinHandle, time};
+use tokio::{
+    io::{AsyncRead, AsyncReadExt, ReadBuf, Take},
+    net::{TcpStream, tcp::OwnedReadHalf},
+    task::JoinHandle,
+    time,
+};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use crate::{
@@ -20,6 +35,10 @@
 /// 1 s. Another connection is tried beside it after so long: far above a round trip between regions.
 const CONNECT_STAGGER: Duration = Duration::from_millis(200);
 
+/// How much is read from a peer before it has answered the login, in bytes. Another program may
+/// listen at the address by now, and may write without end.
+const MAX_LOGIN_BYTES: u64 = 64 * 1024;
+
 /// How to reach the system's own processes.
 #[derive(Clone)]
 pub struct Dialer {
@@ -58,8 +77,9 @@
             .context(IoSnafu { step, peer })?;
         stream.set_nodelay(true).context(IoSnafu { step, peer })?;
         let (reader, writer) = stream.into_split();
+        let inbound = Inbound::new(reader);
         let network = twoparty::VatNetwork::new(
-            reader.compat(),
+            inbound.clone().compat(),
             writer.compat_write(),
             Side::Client,
             Default::default(),
@@ -70,6 +90,7 @@
         Ok(Connection {
             peer,
             login,
+            inbound,
             timeout: self.timeout,
             task,
         })
@@ -87,10 +108,35 @@
     }
 }
 
+/// What a peer sends. It ends after [`MAX_LOGIN_BYTES`] until the limit is lifted.
+#[derive(Clone)]
+struct Inbound(Rc<RefCell<Take<OwnedReadHalf>>>);
+
+impl Inbound {
+    fn new(reader: OwnedReadHalf) -> Self {
+        Self(Rc::new(RefCell::new(reader.take(MAX_LOGIN_BYTES))))
+    }
+
+    fn lift_limit(&self) {
+        self.0.borrow_mut().set_limit(u64::MAX);
+    }
+}
+
+impl AsyncRead for Inbound {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_read(context, buffer)
+    }
+}
+
 /// An open connection. Dropping it closes it and fails its running calls.
 pub struct Connection {
     peer: SocketAddr,
     pub(crate) login: login::Client,
+    inbound: Inbound,
     timeout: Duration,
     task: JoinHandle<()>,
 }
@@ -115,10 +161,15 @@
     ) -> Result<T, Error> {
         let limit = self.timeout + extra;
         let (peer, millis) = (self.peer, as_millis(limit));
-        time::timeout(limit, answer)
+        let is_login = matches!(step, Step::Login);
+        let answer = time::timeout(limit, answer)
             .await
             .map_err(|_| TimeoutSnafu { step, peer, millis }.build())?
-            .context(RpcSnafu { step, peer })
+            .context(RpcSnafu { step, peer })?;
+        if is_login {
+            self.inbound.lift_limit();
+        }
+        Ok(answer)
     }
 }
 
