--- a/crates/relay/tests/endless.rs
+++ b/crates/relay/tests/endless.rs
@@ -26,7 +26,7 @@
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nid: q\r\nseal: 1\r\ntransfer-encoding: chunked\r\n\r\n";
 
 /// A table of beginnings, the bytes that follow for ever, and the paths that they are sent on.
-const CASES: [(&str, &str, &str, &[&str]); 7] = [
+const CASES: [(&str, &str, &str, &[&str]); 10] = [
     (
         "a status line",
         "HTTP/1.1 200 ",
@@ -63,6 +63,24 @@
         "8\r\nxxxxxxxx\r\n",
         &["/again/", "/once/", "/stream/"],
     ),
+    (
+        "a chunk extension",
+        "HTTP/1.1 200 OK\r\nid: q\r\nseal: 1\r\ntransfer-encoding: chunked\r\n\r\n8;",
+        "xxxxxxxx",
+        &["/again/", "/once/", "/stream/"],
+    ),
+    (
+        "trailers",
+        "HTTP/1.1 200 OK\r\nid: q\r\nseal: 1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+        "a: b\r\n",
+        &["/again/", "/once/"],
+    ),
+    (
+        "one event of many lines",
+        CHUNKED,
+        "8\r\ndata: x\n\r\n",
+        &["/stream/"],
+    ),
     (
         "events without an id",
         CHUNKED,
