Count an edit that asks for what is in force as the latest

Operators could see an order that was given up undo a later one in one more case: an edit that came late but asked for what was in force was accepted without moving the number of its subject. An older edit, stamped after the one before, then took effect over it.

--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -247,15 +247,14 @@
         self.latest.expire(horizon_ms);
     }
 
-    /// The outcome of an edit whose subject was changed after the edit was sent: a conflict,
-    /// unless what the edit sets is in force. It is not recorded, because the operator may send
-    /// the edit again after reading what is in force.
+    /// The outcome of an edit whose subject was changed after the edit was sent: a conflict. It is
+    /// not recorded, because the operator may send the edit again after reading what is in force.
+    /// An edit that sets what is in force is made as any other, so that it counts as the latest.
     fn overtaken(&self, edit: &Edit, seen: Option<Revision>) -> Option<Outcome> {
         let conflict = self.latest.conflict(&edit.change, seen?)?;
-        let revision = self.revision;
         match self.answer(edit) {
             Some(answer) => Some(answer),
-            None if self.is_in_force(&edit.change) => Some(Outcome::Accepted { revision }),
+            None if self.is_in_force(&edit.change) => None,
             None => Some(conflict),
         }
     }
