Test random replacements, and show how many members a group has

The simulation of the log replaces hosts in random order, 60 times for four sizes of groups, and expects every newcomer to be admitted.

Nothing showed an operator that a group was filling up: a refused newcomer was logged at debug level by the newcomer alone. The leader now logs it, and gypsum_log_members counts the members.

--- a/crates/control/src/replication/core.rs
+++ b/crates/control/src/replication/core.rs
@@ -321,19 +321,23 @@
 
     /// Tells about changes, and lets go of those who wait for a lead that is over.
     fn watch(&self) {
-        let (part, leader, term, commit) = {
+        let (part, leader, term, commit, members) = {
             let replica = self.replica();
             (
                 replica.role(),
                 replica.leader(),
                 replica.term(),
                 replica.commit(),
+                replica.members().addresses().len(),
             )
         };
         if part != Role::Leader {
             fail(self.waiting.take());
         }
         self.instruments.commit.record(commit, &[]);
+        self.instruments
+            .members
+            .record(u64::try_from(members).unwrap_or(u64::MAX), &[]);
         self.instruments.term.record(term, &[]);
         let is_leader = u64::from(part == Role::Leader);
         self.instruments.is_leader.record(is_leader, &[]);
--- a/crates/control/src/replication/meter.rs
+++ b/crates/control/src/replication/meter.rs
@@ -8,6 +8,7 @@
     pub(super) commit: Gauge<u64>,
     pub(super) term: Gauge<u64>,
     pub(super) is_leader: Gauge<u64>,
+    pub(super) members: Gauge<u64>,
     pub(super) disk_full: Gauge<u64>,
     pub(super) write_seconds: Histogram<f64>,
     pub(super) submit_seconds: Histogram<f64>,
@@ -27,6 +28,10 @@
             commit: meter.u64_gauge("gypsum_log_commit").build(),
             term: meter.u64_gauge("gypsum_log_term").build(),
             is_leader: meter.u64_gauge("gypsum_log_is_leader").build(),
+            members: meter
+                .u64_gauge("gypsum_log_members")
+                .with_description("Voters and learners of the group")
+                .build(),
             disk_full: meter
                 .u64_gauge("gypsum_log_disk_full")
                 .with_description("Whether writes wait for room on the disk")
--- a/crates/control/src/replication/service.rs
+++ b/crates/control/src/replication/service.rs
@@ -10,7 +10,8 @@
     control::Answer,
     replica::{Confirmation, Hello},
 };
-use policy::replica::{JoinRequest, Role};
+use policy::replica::{JoinRequest, Refusal, Role};
+use slog::warn;
 
 use super::{Vms, core::Core, submit};
 
@@ -94,6 +95,10 @@
             replaces,
         };
         let admission = core.replica_mut().admit(core.now(), candidate);
+        if admission == Err(Refusal::Full) {
+            warn!(core.logger, "log: a replica was not admitted"; "address" => %address,
+                "reason" => %Refusal::Full);
+        }
         core.pump();
         return admission.map(|_| ()).map_err(|error| failed(&error));
     }
--- a/crates/policy/tests/replica/main.rs
+++ b/crates/policy/tests/replica/main.rs
@@ -94,6 +94,16 @@
     }
 }
 
+/// Guards against a group that admits no successors once many of its machines have been replaced.
+#[test]
+fn machines_replaced_again_and_again_find_successors() {
+    for (voters, spares, at_once) in [(3, 0, 1), (3, 2, 1), (5, 0, 2), (5, 3, 2)] {
+        Simulation::new(7, Plan::calm_with_spares(voters, spares))
+            .with_promotion()
+            .replace_hosts(60, at_once);
+    }
+}
+
 #[test]
 fn leader_without_inbound_messages_is_replaced() {
     for seed in 0..10 {
--- a/crates/policy/tests/replica/simulation.rs
+++ b/crates/policy/tests/replica/simulation.rs
@@ -32,6 +32,15 @@
 /// a replacement has to vote within four seconds.
 const REPLACEMENT_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Simulated time after which a replaced host counts as present again.
+const CATCH_UP: Duration = Duration::from_secs(6);
+
+/// The address of a host after so many replacements.
+fn address_of(replacements: u32, index: usize) -> SocketAddr {
+    let [_, _, high, low] = replacements.to_be_bytes();
+    SocketAddr::from(([10, high, low, index as u8], 1))
+}
+
 /// A message in flight.
 struct Delivery {
     at: Instant,
@@ -65,9 +74,8 @@
 impl Simulation {
     pub(crate) fn new(seed: u64, plan: Plan) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let address = |index: usize| SocketAddr::from(([10, 0, 0, index as u8], 1));
         let hosts = (0..plan.voters + plan.spares)
-            .map(|index| Host::new(address(index), Identity(rng.next_u64().max(1))))
+            .map(|index| Host::new(address_of(0, index), Identity(rng.next_u64().max(1))))
             .collect();
         Self {
             plan,
@@ -182,6 +190,48 @@
         self.heal();
     }
 
+    /// Replaces hosts by empty ones at other addresses, in a random order and up to `at_once` at a
+    /// time. Expects after each replacement that the newcomers are members and that a change is
+    /// committed.
+    pub(crate) fn replace_hosts(&mut self, replacements: u32, at_once: usize) {
+        self.wait_for_leader(None);
+        (0..400).for_each(|_| self.step());
+        for number in 0..replacements {
+            let count = self.rng.random_range(1..=at_once);
+            let mut indices: Vec<_> = (0..self.hosts.len()).collect();
+            let chosen: Vec<_> = (0..count)
+                .map(|_| indices.swap_remove(self.rng.random_range(0..indices.len())))
+                .collect();
+            for index in &chosen {
+                let identity = Identity(self.rng.next_u64().max(1));
+                self.hosts[*index].lose_disk(identity);
+                self.hosts[*index].address = address_of(number + 1, *index);
+            }
+            let end = self.now + CATCH_UP;
+            let mut proposed = None;
+            while self.now < end {
+                proposed = self.propose_at_leader().or(proposed);
+                self.step();
+            }
+            let is_member = |index: &usize| self.is_known_to_leader(*index);
+            assert!(
+                chosen.iter().all(is_member),
+                "replacement {number} was not admitted: {}",
+                self.describe()
+            );
+        }
+        self.heal();
+    }
+
+    fn is_known_to_leader(&self, index: usize) -> bool {
+        let leaders = self.hosts.iter().filter(|host| host.is_leader());
+        let mut replicas = leaders.filter_map(|host| host.replica.as_ref());
+        replicas.any(|replica| {
+            let members = replica.members().addresses();
+            members.contains_key(&self.hosts[index].identity)
+        })
+    }
+
     /// Stops and restarts all replicas at the same moment. Returns the time until there is a
     /// leader.
     pub(crate) fn restart_all(&mut self) -> Duration {
