Share the bounds on unfinished answers, the endless server of tests and the memory reading

Cause: the relay and the client of upstreams had the same accounting of unfinished answers, and three tests and one command read the process's memory in their own way.

Change: `policy::kept` counts unfinished answers and keeps them in blocks; `fakes::endless` and `host::memory` take the place of the copies. The number of members is recorded when the group changes, not at each tick. An edit's known answer is looked up once.

--- a/crates/bench/src/cmd/rollout/report.rs
+++ b/crates/bench/src/cmd/rollout/report.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use host::memory;
 use serde::Serialize;
 
 use super::{
@@ -121,19 +122,10 @@
     Slopes {
         processor_ms_per_mb: round(figures.processor.as_secs_f64() * 1e3 / megabytes.max(1e-9)),
         control_bytes_per_agent: round(control as f64 / figures.shares.len().max(1) as f64),
-        peak_memory_mb: round(peak_memory_bytes() as f64 / 1e6),
+        peak_memory_mb: round(memory::peak().unwrap_or_default() as f64 / 1e6),
     }
 }
 
-fn peak_memory_bytes() -> u64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmHWM:"))
-        .and_then(|rest| rest.split_whitespace().next()?.parse::<u64>().ok())
-        .map_or(0, |kilobytes| kilobytes * 1024)
-}
-
 fn round(value: f64) -> f64 {
     (value * 1e3).round() / 1e3
 }
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -13,7 +13,7 @@
 use domain::{
     clock::{Clock, Instant},
     command::{Command, Reply},
-    edit::Outcome,
+    edit::{Outcome, Revision},
     instance::Write,
     name,
     record::{Batch, Cursor, Delta, Key, Record, Routing},
@@ -27,6 +27,7 @@
 };
 use settings::control::Control;
 use slog::{Logger, error, info, warn};
+use tokio::time;
 
 use crate::{
     lane::Lane,
@@ -38,6 +39,8 @@
 
 /// State older than this isn't handed out: the subscriber may reach a replica that knows more.
 pub const MAX_SERVED_AGE: Duration = Duration::from_secs(2);
+/// The pause between two looks at the revision.
+const REACH_PERIOD: Duration = Duration::from_millis(10);
 
 /// The shared tables of one replica.
 pub struct Core {
@@ -127,6 +130,13 @@
         self.state.borrow()
     }
 
+    /// Waits until the state here is as new as the revision.
+    pub async fn reach(&self, revision: Revision) {
+        while self.state().revision() < revision {
+            time::sleep(REACH_PERIOD).await;
+        }
+    }
+
     /// Whether the routing in force names the service, or nothing while there is none.
     pub fn serves(&self, service: &name::Service) -> Option<bool> {
         let services = self.services.borrow();
--- a/crates/control/src/edits.rs
+++ b/crates/control/src/edits.rs
@@ -19,8 +19,6 @@
 
 /// How long a replica waits to catch up with the revision from which an edit was made.
 const CATCH_UP: Duration = Duration::from_secs(1);
-/// The pause between two looks at the revision.
-const CATCH_UP_PERIOD: Duration = Duration::from_millis(10);
 
 /// Makes an edit, or repeats the answer that its id already got.
 pub async fn run(core: Rc<Core>, origin: Client, edit: Edit) -> Result<Outcome, Failure> {
@@ -102,13 +100,8 @@
     let Some(base) = edit.base else {
         return;
     };
-    let reached = async {
-        while core.state().revision() < base {
-            time::sleep(CATCH_UP_PERIOD).await;
-        }
-    };
     // A replica that stays behind leaves the verdict to the leader's state.
-    let _ = time::timeout(CATCH_UP, reached).await;
+    let _ = time::timeout(CATCH_UP, core.reach(base)).await;
 }
 
 async fn read_pins(core: &Core, origin: &Client, edit: &Edit) -> pins::Reading {
--- a/crates/control/src/replication/core.rs
+++ b/crates/control/src/replication/core.rs
@@ -223,10 +223,12 @@
         }
     }
 
-    /// Drops the links to addresses at which no member or seed is any more. A link that is kept
-    /// dials its address again and again.
-    fn drop_stale_links(&self) {
+    /// Counts the members after a change, and drops the links to addresses at which no member or
+    /// seed is any more: a link that is kept dials its address again and again.
+    fn follow_members(&self) {
         let members = self.replica().members().addresses();
+        let count = u64::try_from(members.len()).unwrap_or(u64::MAX);
+        self.instruments.members.record(count, &[]);
         let known: BTreeSet<_> = members.values().copied().chain(self.seeds.all()).collect();
         self.links
             .borrow_mut()
@@ -252,14 +254,14 @@
         let later = self.waiting.borrow_mut().split_off(&(index + 1));
         let skipped = self.waiting.replace(later);
         fail(skipped);
-        self.drop_stale_links();
+        self.follow_members();
     }
 
     fn apply(&self, entry: Entry) {
         let reply = match entry.payload {
             Payload::Noop => Ok(Reply::Done),
             Payload::Members(_) => {
-                self.drop_stale_links();
+                self.follow_members();
                 Ok(Reply::Done)
             }
             Payload::Command(bytes) => match peer::pack::decode(&bytes) {
@@ -321,23 +323,19 @@
 
     /// Tells about changes, and lets go of those who wait for a lead that is over.
     fn watch(&self) {
-        let (part, leader, term, commit, members) = {
+        let (part, leader, term, commit) = {
             let replica = self.replica();
             (
                 replica.role(),
                 replica.leader(),
                 replica.term(),
                 replica.commit(),
-                replica.members().addresses().len(),
             )
         };
         if part != Role::Leader {
             fail(self.waiting.take());
         }
         self.instruments.commit.record(commit, &[]);
-        self.instruments
-            .members
-            .record(u64::try_from(members).unwrap_or(u64::MAX), &[]);
         self.instruments.term.record(term, &[]);
         let is_leader = u64::from(part == Role::Leader);
         self.instruments.is_leader.record(is_leader, &[]);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! They speak the contracts of `docs/CONTRACTS.md` and make faults on request.
 
+pub mod endless;
 pub mod engine;
 pub mod origin;
 pub mod server;
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,7 +1,8 @@
-//! The platform under the daemons: clock, signals, and the balancer's health checks.
+//! The platform under the daemons: clock, memory, signals, and the balancer's health checks.
 
 pub mod clock;
 pub mod error;
+pub mod memory;
 pub mod shutdown;
 pub mod status;
 
--- a/crates/peer/src/chunks.rs
+++ b/crates/peer/src/chunks.rs
@@ -132,7 +132,7 @@
         let mut request = connection.login.chunks_request();
         request.get().set_secret(dialer.secret());
         let answer = async { request.send().promise.await?.get()?.get_chunks() };
-        let chunks = connection.call(Step::Login, Duration::ZERO, answer).await?;
+        let chunks = connection.login(answer).await?;
         Ok(Self { connection, chunks })
     }
 
--- a/crates/peer/src/connection.rs
+++ b/crates/peer/src/connection.rs
@@ -161,15 +161,20 @@
     ) -> Result<T, Error> {
         let limit = self.timeout + extra;
         let (peer, millis) = (self.peer, as_millis(limit));
-        let is_login = matches!(step, Step::Login);
-        let answer = time::timeout(limit, answer)
+        time::timeout(limit, answer)
             .await
             .map_err(|_| TimeoutSnafu { step, peer, millis }.build())?
-            .context(RpcSnafu { step, peer })?;
-        if is_login {
-            self.inbound.lift_limit();
-        }
-        Ok(answer)
+            .context(RpcSnafu { step, peer })
+    }
+
+    /// Waits for the answer to the login, and then reads without the limit that holds before.
+    pub(crate) async fn login<T>(
+        &self,
+        answer: impl Future<Output = capnp::Result<T>>,
+    ) -> Result<T, Error> {
+        let session = self.call(Step::Login, Duration::ZERO, answer).await?;
+        self.inbound.lift_limit();
+        Ok(session)
     }
 }
 
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -159,7 +159,7 @@
         let mut request = connection.login.control_request();
         request.get().set_secret(dialer.secret());
         let answer = async { request.send().promise.await?.get()?.get_control() };
-        let control = connection.call(Step::Login, Duration::ZERO, answer).await?;
+        let control = connection.login(answer).await?;
         Ok(Self {
             connection,
             control,
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -162,7 +162,7 @@
         let mut request = connection.login.replica_request();
         request.get().set_secret(dialer.secret());
         let answer = async { request.send().promise.await?.get()?.get_replica() };
-        let replica = connection.call(Step::Login, Duration::ZERO, answer).await?;
+        let replica = connection.login(answer).await?;
         Ok(Self {
             connection,
             replica,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod drain;
 pub mod fair;
 pub mod gate;
+pub mod kept;
 pub mod ledger;
 pub mod lifecycle;
 pub mod listing;
--- a/crates/policy/src/replica/membership.rs
+++ b/crates/policy/src/replica/membership.rs
@@ -186,9 +186,9 @@
     /// with a quorum, for example after it was paused.
     fn silent_learner(&self, now: Instant, silence: Duration) -> Option<Identity> {
         let learners = self.configuration.current().learners.keys().copied();
-        learners
-            .filter(|id| self.has_leader(now) && self.silence(now, *id) >= silence)
-            .max_by_key(|id| self.silence(now, *id))
+        let longest = learners.max_by_key(|id| self.silence(now, *id))?;
+        let is_lost = self.has_leader(now) && self.silence(now, longest) >= silence;
+        is_lost.then_some(longest)
     }
 
     /// How long a follower of this leader has not answered.
@@ -197,7 +197,7 @@
             State::Leader(leader) => leader
                 .progress
                 .get(&follower)
-                .map(|progress| now.since(progress.contact_at))
+                .map(|progress| progress.silence(now))
                 .unwrap_or_default(),
             _ => Duration::ZERO,
         }
--- a/crates/policy/src/replica/progress.rs
+++ b/crates/policy/src/replica/progress.rs
@@ -1,6 +1,9 @@
 //! The leader's view of its followers.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use domain::{clock::Instant, replica::Identity};
 
@@ -20,8 +23,8 @@
     pub(super) round: u64,
     /// When the follower last answered.
     pub(super) answered_at: Option<Instant>,
-    /// When the follower last answered, or was added.
-    pub(super) contact_at: Instant,
+    /// When the follower was added.
+    added_at: Instant,
     /// When the last snapshot was sent, until the follower has answered.
     pub(super) snapshot_sent_at: Option<Instant>,
 }
@@ -33,7 +36,7 @@
             next,
             round: 0,
             answered_at: None,
-            contact_at: now,
+            added_at: now,
             snapshot_sent_at: None,
         }
     }
@@ -42,7 +45,11 @@
     pub(super) fn answer(&mut self, now: Instant, round: u64) {
         self.round = self.round.max(round);
         self.answered_at = Some(now);
-        self.contact_at = now;
+    }
+
+    /// How long the follower has not answered since it was added.
+    pub(super) fn silence(&self, now: Instant) -> Duration {
+        now.since(self.answered_at.unwrap_or(self.added_at))
     }
 }
 
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -183,13 +183,7 @@
                 seen,
             } => {
                 let at_ms = self.advance_clock(at_ms);
-                match self.overtaken(&edit, seen) {
-                    Some(answer) => Applied {
-                        reply: Reply::Edit(answer),
-                        deltas: Vec::new(),
-                    },
-                    None => self.edit(fence, &edit, &pins, objections, at_ms),
-                }
+                self.edit(fence, &edit, &pins, objections, at_ms, seen)
             }
             Command::Ledger {
                 write,
@@ -252,11 +246,7 @@
     /// An edit that sets what is in force is made as any other, so that it counts as the latest.
     fn overtaken(&self, edit: &Edit, seen: Option<Revision>) -> Option<Outcome> {
         let conflict = self.latest.conflict(&edit.change, seen?)?;
-        match self.answer(edit) {
-            Some(answer) => Some(answer),
-            None if self.is_in_force(&edit.change) => None,
-            None => Some(conflict),
-        }
+        (!self.is_in_force(&edit.change)).then_some(conflict)
     }
 
     /// Whether a zone or upstream already is as the change sets it.
@@ -278,8 +268,10 @@
         pins: &Pins,
         objections: Vec<Violation>,
         at_ms: u64,
+        seen: Option<Revision>,
     ) -> Applied {
-        if let Some(answer) = self.answer(edit) {
+        let known = self.answer(edit);
+        if let Some(answer) = known.or_else(|| self.overtaken(edit, seen)) {
             return Applied {
                 reply: Reply::Edit(answer),
                 deltas: Vec::new(),
--- a/crates/policy/tests/replica/simulation.rs
+++ b/crates/policy/tests/replica/simulation.rs
@@ -208,22 +208,27 @@
                 self.hosts[*index].address = address_of(number + 1, *index);
             }
             let end = self.now + CATCH_UP;
-            let mut proposed = None;
+            let first = self.next_number;
             while self.now < end {
-                proposed = self.propose_at_leader().or(proposed);
+                self.propose_at_leader();
                 self.step();
             }
-            let is_member = |index: &usize| self.is_known_to_leader(*index);
             assert!(
-                chosen.iter().all(is_member),
+                chosen.iter().all(|index| self.is_member(*index)),
                 "replacement {number} was not admitted: {}",
                 self.describe()
             );
+            assert!(
+                (first..self.next_number).any(|change| self.is_applied(change)),
+                "no change was committed after replacement {number}: {}",
+                self.describe()
+            );
         }
         self.heal();
     }
 
-    fn is_known_to_leader(&self, index: usize) -> bool {
+    /// Whether a leader counts the host among the members.
+    fn is_member(&self, index: usize) -> bool {
         let leaders = self.hosts.iter().filter(|host| host.is_leader());
         let mut replicas = leaders.filter_map(|host| host.replica.as_ref());
         replicas.any(|replica| {
@@ -304,18 +309,6 @@
         let numbers = history.numbers(history.len());
         let is_proposed = proposed.is_some_and(|number| numbers.contains(&number));
         let identities: Vec<_> = self.hosts.iter().map(|host| host.identity).collect();
-        let is_member = |host: &&Host| {
-            let members = |other: &Host| {
-                let replica = other.replica.as_ref();
-                replica.is_some_and(|replica| {
-                    replica.members().addresses().contains_key(&host.identity)
-                })
-            };
-            self.hosts
-                .iter()
-                .filter(|other| other.is_leader())
-                .any(members)
-        };
         let is_replaced = self
             .hosts
             .iter()
@@ -325,8 +318,8 @@
                 let voters = &replica.members().voters;
                 replica.is_settled() && voters.keys().all(|id| identities.contains(id))
             });
-        let mut members = self.hosts.iter().filter(is_member);
-        is_proposed && is_replaced && members.all(|host| host.numbers == numbers)
+        let mut members = (0..self.hosts.len()).filter(|index| self.is_member(*index));
+        is_proposed && is_replaced && members.all(|index| self.hosts[index].numbers == numbers)
     }
 
     fn describe(&self) -> String {
@@ -349,8 +342,7 @@
         let span = Duration::from_millis(self.rng.random_range(1..15));
         self.now = self.now + span;
         for index in 0..self.hosts.len() {
-            let is_stopped = self.hosts[index].replica.is_none();
-            if is_stopped && (self.is_healed || self.chance(0.05)) {
+            if self.hosts[index].replica.is_none() && (self.is_healed || self.chance(0.05)) {
                 let (now, timing) = (self.now, self.timing);
                 self.hosts[index].start(now, timing, &mut self.rng);
             }
--- a/crates/policy/tests/replica/simulation/faults.rs
+++ b/crates/policy/tests/replica/simulation/faults.rs
@@ -25,7 +25,7 @@
                 let span = Duration::from_millis(self.rng.random_range(1..2_000));
                 self.hosts[index].frozen_until = self.now + span;
             }
-            if self.plan.fill_disk > 0.0 && self.chance(self.plan.fill_disk) {
+            if self.chance(self.plan.fill_disk) {
                 let span = Duration::from_millis(self.rng.random_range(1..4_000));
                 self.hosts[index].full_until = self.now + span;
             }
--- a/crates/policy/tests/state.rs
+++ b/crates/policy/tests/state.rs
@@ -58,6 +58,11 @@
 }
 
 fn command(edit: Edit) -> Command {
+    command_from(edit, None)
+}
+
+/// The command of a replica whose state was at the given revision.
+fn command_from(edit: Edit, seen: Option<Revision>) -> Command {
     let pins = match &edit.change {
         Change::Lists(lists) => pins(lists),
         _ => Pins::new(),
@@ -67,7 +72,7 @@
         pins,
         objections: Vec::new(),
         at_ms: 5,
-        seen: None,
+        seen,
     }
 }
 
@@ -148,22 +153,7 @@
 }
 
 fn seen(revision: u64, id: &str, change: Change) -> Command {
-    match command(edit(id, None, change)) {
-        Command::Edit {
-            edit,
-            pins,
-            objections,
-            at_ms,
-            ..
-        } => Command::Edit {
-            edit,
-            pins,
-            objections,
-            at_ms,
-            seen: Some(Revision(revision)),
-        },
-        command => command,
-    }
+    command_from(edit(id, None, change), Some(Revision(revision)))
 }
 
 fn drain(is_draining: bool) -> Change {
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -18,6 +18,7 @@
 use peer::uplink::{Client, Feed};
 use policy::{
     crash::SURVIVAL,
+    kept::Kept,
     notice::{Change, Notice},
     placement::{Choice, Placer},
     retry::Budget,
@@ -34,7 +35,7 @@
     journal::Journal,
     meters::Meters,
     pool::{Connection, Pool},
-    whole::Kept,
+    whole,
     witness::{Reports, Witness},
 };
 
@@ -127,7 +128,7 @@
             meters: Meters::new(&given.meter),
             bounds: given.bounds,
             gate: Gate::default(),
-            kept: Kept::default(),
+            kept: whole::kept(),
             clock: given.clock,
             state: given.state,
             witness: Witness::new(given.reports),
--- a/crates/relay/tests/endless.rs
+++ b/crates/relay/tests/endless.rs
@@ -3,18 +3,19 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Mutex, time::Duration};
+use std::{net::SocketAddr, sync::Mutex, time::Duration};
 
 #[allow(dead_code)]
 #[path = "whole/common.rs"]
 mod common;
 
-use common::{Relay, Upstream, read_head, run};
+use common::{Relay, Upstream, run};
+use fakes::endless::Endless;
 use futures::future;
+use host::memory;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
-    task::spawn_local,
+    net::TcpStream,
 };
 
 const GOOD: &str = "HTTP/1.1 200 OK\r\nid: q\r\nseal: 1\r\ncontent-length: 4\r\n\r\nbody";
@@ -89,45 +90,6 @@
     ),
 ];
 
-/// An instance that answers each request with a beginning and then with the same bytes for ever.
-struct Endless {
-    address: SocketAddr,
-    /// How many requests it has read.
-    begun: Rc<Cell<usize>>,
-    /// How many of their connections have ended.
-    ended: Rc<Cell<usize>>,
-}
-
-impl Endless {
-    async fn start(beginning: &'static str, fill: &'static str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let (begun, ended) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
-        let counts = (begun.clone(), ended.clone());
-        spawn_local(async move {
-            while let Ok((mut stream, _)) = listener.accept().await {
-                let (begun, ended) = counts.clone();
-                spawn_local(async move {
-                    if read_head(&mut stream).await.is_none() {
-                        return;
-                    }
-                    begun.set(begun.get() + 1);
-                    let mut written = stream.write_all(beginning.as_bytes()).await;
-                    while written.is_ok() {
-                        written = stream.write_all(fill.as_bytes()).await;
-                    }
-                    ended.set(ended.get() + 1);
-                });
-            }
-        });
-        Self {
-            address,
-            begun,
-            ended,
-        }
-    }
-}
-
 /// Sends a request on a connection of its own, and reads its answer to the end without
 /// keeping it. Returns the status, and whether the answer looks whole.
 async fn send_briefly(address: SocketAddr, path: &str) -> (u16, bool) {
@@ -154,44 +116,27 @@
 /// Held by the test that measures memory, because the others of this file would add to it.
 static MEASURED: Mutex<()> = Mutex::new(());
 
-/// Forgets the most memory that the process has held so far, and returns what it holds, in bytes.
-fn reset_peak() -> usize {
-    std::fs::write("/proc/self/clear_refs", "5").unwrap();
-    peak()
-}
-
-/// The most memory that the process has held since [`reset_peak`], in bytes.
-fn peak() -> usize {
-    let text = std::fs::read_to_string("/proc/self/status").unwrap();
-    let line = text.lines().find(|line| line.starts_with("VmHWM:"));
-    let kilobytes = line.unwrap().split_whitespace().nth(1).unwrap();
-    kilobytes.parse::<usize>().unwrap() * 1_024
-}
-
 #[test]
 fn answers_without_end_cost_bounded_memory_and_time() {
     let _measured = MEASURED.lock();
     run(async {
         for (name, beginning, fill, paths) in CASES {
-            // As many bytes at once as a fast link carries.
-            let fill: &'static str = fill.repeat(64 * 1024 / fill.len()).leak();
             for path in paths {
-                let endless = Endless::start(beginning, fill).await;
-                let relay = Relay::start(&[endless.address]);
-                let before = reset_peak();
+                let endless = Endless::start(beginning, fill).await.unwrap();
+                let relay = Relay::start(&[endless.address()]);
+                let before = memory::reset_peak().unwrap();
                 let requests = (0..REQUESTS).map(|_| send_briefly(relay.address, path));
                 let answers = future::join_all(requests).await;
-                let growth = peak().saturating_sub(before);
+                let growth = memory::peak().unwrap().saturating_sub(before);
                 let case = format!("{name} on {path}: {answers:?}");
+                eprintln!("GROWTH {growth} {name} {path}");
                 assert!(growth < MAX_GROWTH, "{case}: {growth} bytes");
                 // A request that was refused as not run was never sent, and any other one was.
                 let refused = answers.iter().filter(|(status, _)| *status == 503).count();
-                assert_eq!(endless.begun.get(), REQUESTS - refused, "{case}");
+                assert_eq!(endless.begun(), REQUESTS - refused, "{case}");
                 let looks_whole = |(status, is_whole): &(u16, bool)| *status < 500 && *is_whole;
                 assert!(!answers.iter().any(looks_whole), "{case}");
-                while endless.ended.get() < endless.begun.get() {
-                    tokio::time::sleep(Duration::from_millis(10)).await;
-                }
+                endless.closed().await;
             }
         }
     });
@@ -202,10 +147,9 @@
 fn other_requests_go_on_beside_an_answer_without_end() {
     let _measured = MEASURED.lock();
     run(async {
-        let fill: &'static str = "8\r\nxxxxxxxx\r\n".repeat(4_096).leak();
-        let endless = Endless::start(CHUNKED, fill).await;
+        let endless = Endless::start(CHUNKED, "8\r\nxxxxxxxx\r\n").await.unwrap();
         let sound = Upstream::start(&[GOOD; 40]).await;
-        let relay = Relay::start(&[endless.address, sound.address]);
+        let relay = Relay::start(&[endless.address(), sound.address]);
         let requests = (0..20).map(|_| relay.send("/again/"));
         let answers = future::join_all(requests).await;
         let good = answers
--- a/crates/upstream/src/body.rs
+++ b/crates/upstream/src/body.rs
@@ -1,18 +1,12 @@
 //! Bodies that are whole only with their end marker.
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use std::{net::SocketAddr, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use policy::kept::Kept;
 use tokio::time;
 
 use crate::{
@@ -28,35 +22,9 @@
 /// may spend for control.
 const MAX_KEPT_BYTES: usize = 32 * 1024 * 1024;
 
-/// How many bytes of unfinished answers are kept.
-#[derive(Clone, Debug, Default)]
-pub struct Kept(Arc<AtomicUsize>);
-
-/// The bytes of one unfinished answer.
-struct Share<'a> {
-    kept: &'a Kept,
-    bytes: usize,
-}
-
-impl Share<'_> {
-    /// Counts more bytes, and says what is exceeded by them.
-    fn grow(&mut self, bytes: usize) -> Option<String> {
-        self.bytes += bytes;
-        let all = self.kept.0.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        match () {
-            () if self.bytes > MAX_BYTES => Some(format!("longer than {MAX_BYTES} bytes")),
-            () if all > MAX_KEPT_BYTES => Some(format!(
-                "unfinished answers take more than {MAX_KEPT_BYTES} bytes"
-            )),
-            () => None,
-        }
-    }
-}
-
-impl Drop for Share<'_> {
-    fn drop(&mut self) {
-        self.kept.0.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
+/// The bytes of unfinished answers, with the limits that hold for upstreams.
+pub(crate) fn kept() -> Kept {
+    Kept::new(MAX_BYTES, MAX_KEPT_BYTES)
 }
 
 /// Whether the head says how the end of the body will show.
@@ -107,13 +75,12 @@
     peer: SocketAddr,
     patience: Duration,
 ) -> Result<Bytes, Error> {
-    let mut share = Share { kept, bytes: 0 };
-    let mut whole = BytesMut::new();
+    let mut share = kept.share();
     while let Some(piece) = next(&mut body, peer, patience).await? {
-        if let Some(detail) = share.grow(piece.len()) {
+        if let Err(exceeded) = share.extend(&piece) {
+            let detail = exceeded.to_string();
             return TruncatedSnafu { peer, detail }.fail();
         }
-        whole.extend_from_slice(&piece);
     }
-    Ok(whole.freeze())
+    Ok(share.into_bytes())
 }
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -8,12 +8,13 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use policy::kept::Kept;
 use snafu::ResultExt;
 use tokio::{net::TcpStream, time};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    body::Kept,
+    body,
     error::{BrokenSnafu, ConnectSnafu, Error, SilentSnafu, Step},
 };
 
@@ -129,7 +130,7 @@
             peer,
             patience,
             idle: Arc::default(),
-            kept: Kept::default(),
+            kept: body::kept(),
         }
     }
 
--- a/crates/upstream/src/monitor.rs
+++ b/crates/upstream/src/monitor.rs
@@ -9,10 +9,11 @@
 use futures::future::BoxFuture;
 use http::{Method, Request, header};
 use http_body_util::Full;
+use policy::kept::Kept;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    body::{self, Kept},
+    body,
     connection::Connection,
     engine::{State, refused},
     error::{Error, MalformedSnafu, UnsentSnafu},
@@ -41,7 +42,7 @@
             connection,
             peer,
             patience,
-            kept: Kept::default(),
+            kept: body::kept(),
         }
     }
 
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -15,9 +15,10 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header as http_header};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use policy::kept::Kept;
 
 use crate::{
-    body::{self, Kept},
+    body,
     connection::{Connection, Exchange, Freshness, Outgoing, Pool},
     error::{Error, TruncatedSnafu, UnsentSnafu},
     monitor::{self, Monitor},
