Add the types of load reports, the work of a request and the fractions admitted by priority

Cause: routes carry a priority that no decision reads, entries guess the load that others cause, and each request counts as one whatever its length.

Nothing uses them yet.

--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod instance;
 pub mod ledger;
 pub mod lists;
+pub mod load;
 pub mod manifest;
 pub mod name;
 pub mod order;
--- a/crates/policy/src/routes.rs
+++ b/crates/policy/src/routes.rs
@@ -22,6 +22,11 @@
             .find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// All routes.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flat_map(|routes| routes.iter())
+    }
+
     /// Inserts a route. It replaces one with the same host and prefix.
     pub fn insert(&mut self, route: Arc<Route>) {
         let host = route.host.clone();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -136,6 +136,7 @@
         customer: outgoing.customer.as_ref(),
         version: choice.version,
         last_event,
+        urgency: None,
     };
     site.dialect.order(request.headers_mut(), &order);
     request
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -19,6 +19,10 @@
     pub model: Option<name::Artifact>,
     /// How many prompt tokens there are.
     pub prompt_tokens: u32,
+    /// How many tokens the caller expects in the answer.
+    pub answer_hint: Option<u32>,
+    /// How many tokens the answer has at most.
+    pub answer_limit: Option<u32>,
     /// The parts of the prompt, in their order. Requests may share them.
     pub parts: Arc<[name::Part]>,
     /// The last event that the caller has of an earlier answer.
@@ -38,6 +42,9 @@
     pub version: Option<u64>,
     /// The event after which the answer goes on.
     pub last_event: Option<u64>,
+    /// The urgency among the requests that wait at the instance, from 0 (first) to 9, where
+    /// requests differ in priority.
+    pub urgency: Option<u8>,
 }
 
 /// What the head of an instance's answer says.
