Let placement follow load reports where a service is shared by priority

Cause: an entry guesses what others send to an engine as its own requests times the number of entries.

Change: the placer keeps the newest load reports. For a request with a rank it takes the occupancy and pace that the engine's agent reported, and sends nothing to an engine that holds more than its slots and two, one less for each further rank. Without a rank or a report nothing changes. No caller sets a rank yet.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -11,6 +11,7 @@
 use domain::{
     clock::Instant,
     instance::{Instance, Phase},
+    load::Report,
     name,
     routing::{Service, Warmup},
     vm::{Lifecycle, Upstream},
@@ -21,6 +22,7 @@
     breaker::{self, State},
     bucket::Bucket,
     cold::{self, Limit},
+    load,
     notice::{self, Availability, Notice},
     roster::Roster,
     view::View,
@@ -31,6 +33,14 @@
 const REMOTE_PENALTY: f64 = 0.3;
 /// Score penalty of a cold instance, as a fraction of its slots, because it answers slowly.
 const COLD_PENALTY: f64 = 0.5;
+/// Requests that an engine may hold beyond its slots when it gets another one of the most urgent
+/// priority. A slot becomes free before the second of them has waited for a third of a usual
+/// latency target.
+const URGENT_BACKLOG: u32 = 2;
+/// Milliseconds of a second.
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+/// Hundredths of one.
+const PERCENT: f64 = 100.0;
 /// Requests that an entry may have in flight at an instance beyond the instance's slots.
 const MAX_WAITING: u32 = 8;
 /// Retry delay when every instance is busy: about the duration of a typical answer, after which the
@@ -69,6 +79,18 @@
     pub regions: [&'a [name::Region]; 2],
     /// Instances that have already been tried for this request.
     pub tried: &'a [name::Instance],
+    /// The number of more urgent priorities in use, if the service is shared by priority. Without
+    /// it, load reports are not used.
+    pub rank: Option<u32>,
+}
+
+/// What the engines that may serve a request can do.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Capacity {
+    /// The work that they can do, in engine milliseconds per second.
+    pub engine_ms: f64,
+    /// The mean number of running and waiting requests per slot.
+    pub occupancy: f64,
 }
 
 /// The selected instance.
@@ -122,6 +144,8 @@
     prefill_tokens: u64,
     /// What this entry may send while the instance is cold.
     cold: Option<ColdShare>,
+    /// Where the instance accepts requests.
+    address: Option<SocketAddr>,
 }
 
 /// One entry's share of a cold instance.
@@ -150,6 +174,15 @@
     due_at: Instant,
 }
 
+/// The number of requests at an engine at which it gets no further one of a priority, which has so
+/// many more urgent ones above it. Less urgent requests leave slots free for more urgent ones.
+fn occupancy_limit(slots: u32, rank: u32) -> u32 {
+    (slots + URGENT_BACKLOG)
+        .saturating_sub(rank)
+        .max(slots / 2)
+        .max(1)
+}
+
 /// Chooses instances for the requests of one entry.
 pub struct Placer {
     zone: name::AvailabilityZone,
@@ -171,6 +204,8 @@
     roster: Roster,
     /// What cold instances may get from all entries.
     cold_limit: Limit,
+    /// The load that agents and other entries report.
+    reports: load::Table,
     rng: StdRng,
 }
 
@@ -197,6 +232,7 @@
             zones_out: Vec::new(),
             engines: HashMap::new(),
             cold_limit: Limit::default(),
+            reports: load::Table::new(),
             rng,
         }
     }
@@ -240,6 +276,18 @@
         self.breakers.retain(|id| view.instances.contains_key(id));
         self.notices
             .retain(|id| view.instances.contains_key(id), now);
+        self.reports.sweep(now);
+    }
+
+    /// Records a load report of an agent or another entry. Returns `false` if a newer one of its
+    /// sender is known.
+    pub fn observe_load(&mut self, report: Report, now: Instant) -> bool {
+        self.reports.observe(report, now)
+    }
+
+    /// The load that agents and other entries report.
+    pub fn reports(&self) -> &load::Table {
+        &self.reports
     }
 
     /// The most entries that may share the instances, this one included.
@@ -281,7 +329,7 @@
                 Availability::Available => 0.0,
             };
             error = Error::Busy;
-            let Some(score) = self.score(&service, instance, now) else {
+            let Some(score) = self.score(&service, instance, requirements, now) else {
                 continue;
             };
             let score = score + penalty;
@@ -365,6 +413,8 @@
         let is_cold = self.is_cold(&choice.instance, now);
         let load = self.loads.entry(id.clone()).or_default();
         load.in_flight += 1;
+        load.address = Some(choice.instance.address);
+        self.reports.begin(choice.instance.address);
         load.prefill_tokens += u64::from(prompt_tokens);
         match warmup.filter(|_| is_cold) {
             None => load.cold = None,
@@ -413,6 +463,9 @@
     pub fn end(&mut self, id: &name::Instance) {
         if let Some(load) = self.loads.get_mut(id) {
             load.in_flight = load.in_flight.saturating_sub(1);
+            if let Some(address) = load.address {
+                self.reports.end(address);
+            }
         }
     }
 
@@ -494,7 +547,13 @@
 
     /// Returns the load of the instance plus penalties and jitter, in multiples of its slots, or
     /// `None` if it is at its limit.
-    fn score(&mut self, service: &Service, instance: &Instance, now: Instant) -> Option<f64> {
+    fn score(
+        &mut self,
+        service: &Service,
+        instance: &Instance,
+        requirements: &Requirements<'_>,
+        now: Instant,
+    ) -> Option<f64> {
         let warmup = service.cold.filter(|_| self.is_cold(instance, now));
         let jitter = self.rng.random_range(0.0..0.02);
         let entries = self.roster.count();
@@ -509,7 +568,20 @@
             return None;
         }
         let slots = f64::from(instance.slots.max(1));
-        let running = f64::from(load.in_flight) * f64::from(entries) / slots;
+        let reported = match requirements.rank {
+            Some(_) => self.reports.occupancy(instance.address, now),
+            None => None,
+        };
+        let running = match (requirements.rank, reported) {
+            (Some(rank), Some(occupancy)) => {
+                if occupancy.requests >= occupancy_limit(instance.slots, rank) {
+                    return None;
+                }
+                let pace = f64::from(occupancy.pace_percent.max(1)) / 100.0;
+                f64::from(occupancy.requests) * pace / slots
+            }
+            _ => f64::from(load.in_flight) * f64::from(entries) / slots,
+        };
         let prefill = service.engine.as_ref().map_or(0.0, |engine| {
             let seconds = load.prefill_tokens as f64 / f64::from(engine.read_per_s.max(1));
             // Prefilling a prompt of typical length counts as one occupied slot.
@@ -527,6 +599,32 @@
         Some(running + prefill + distance + coldness + jitter)
     }
 
+    /// The mean number of requests per slot at the engines that may serve the request, and their
+    /// capacity in engine milliseconds per second. Engines without a recent report count as full
+    /// and of the described pace.
+    pub fn capacity(&self, view: &View, requirements: &Requirements<'_>, now: Instant) -> Capacity {
+        let mut capacity = Capacity::default();
+        let Some(service) = view.services.get(requirements.service) else {
+            return capacity;
+        };
+        let mut slots = 0.0;
+        let mut requests = 0.0;
+        for instance in view.instances.values() {
+            let version = self.eligible_version(view, service, instance, requirements, now);
+            if version.is_none() || self.is_suspected(instance, now) {
+                continue;
+            }
+            let occupancy = self.reports.occupancy(instance.address, now);
+            let own = f64::from(instance.slots);
+            slots += own;
+            requests += occupancy.map_or(own, |occupancy| f64::from(occupancy.requests));
+            let pace = occupancy.map_or(100, |occupancy| occupancy.pace_percent.max(1));
+            capacity.engine_ms += MILLIS_PER_SECOND * PERCENT / f64::from(pace);
+        }
+        capacity.occupancy = requests / slots.max(1.0);
+        capacity
+    }
+
     /// Whether the instance is warming up, or its zone has just come back into service.
     pub fn is_cold(&self, instance: &Instance, now: Instant) -> bool {
         let is_zone_cold = self
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -130,6 +130,7 @@
             pinned: self.pinned,
             regions: [&self.regions, &[]],
             tried: &self.tried,
+            rank: None,
         }
     }
 }
