Place requests by reported load, and send work to other zones only where it helps

Cause: requests of a service that shares by priority were spread over all zones by the entry's own count with a constant penalty, and each entry could fill an engine that others had filled.

Change: the entry chooses among the engines of its zone by their reports, weighs their pace and a coming switch of versions, and leaves a place for the most urgent priority. policy::spillover decides how much of a zone's work leaves it, by the utilisation of the zones. Services without differing priorities are placed as before.

--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -169,6 +169,18 @@
         sum(recent.flat_map(|state| &state.demand), service)
     }
 
+    /// The demand for a service in another zone, or `None` without a recent report.
+    pub fn demand_of_zone(
+        &self,
+        zone: &name::AvailabilityZone,
+        service: &name::Service,
+        now: Instant,
+    ) -> Option<BTreeMap<Priority, Demand>> {
+        let state = self.zones.get(zone)?;
+        let is_recent = now.since(state.received_at) < MAX_AGE;
+        is_recent.then(|| sum(state.demand.iter(), service))
+    }
+
     /// Removes outdated reports. The numbers of their senders are kept for a while, so that a
     /// delayed report of one that has restarted is recognised.
     pub fn sweep(&mut self, now: Instant) {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -6,12 +6,17 @@
 //! what other entries send to the same instances, so it multiplies its own in-flight requests by the
 //! number of entries. See `docs/PLATFORM.md`, "Placing".
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use domain::{
     clock::Instant,
     instance::{Instance, Phase},
-    load::Report,
+    load::{Demand, Priority, Report},
     name,
     routing::{Service, Warmup},
     vm::{Lifecycle, Upstream},
@@ -25,6 +30,7 @@
     load,
     notice::{self, Availability, Notice},
     roster::Roster,
+    spillover::{Spillover, Zone},
     view::View,
 };
 
@@ -33,14 +39,21 @@
 const REMOTE_PENALTY: f64 = 0.3;
 /// Score penalty of a cold instance, as a fraction of its slots, because it answers slowly.
 const COLD_PENALTY: f64 = 0.5;
-/// Requests that an engine may hold beyond its slots when it gets another one of the most urgent
-/// priority. A slot becomes free before the second of them has waited for a third of a usual
-/// latency target.
-const URGENT_BACKLOG: u32 = 2;
+/// Requests that an engine may hold beyond its slots when it gets another one. One that waits there
+/// starts as soon as a slot becomes free, and a longer queue only delays responses.
+const MAX_BACKLOG: u32 = 1;
+/// The same for the most urgent priority, which overtakes the other one in the engine's queue.
+const MAX_URGENT_BACKLOG: u32 = 2;
 /// Milliseconds of a second.
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 /// Hundredths of one.
 const PERCENT: f64 = 100.0;
+/// Score penalty of an engine that stops accepting requests before the response would end, as a
+/// fraction of its slots. Each such response delays the switch of the engine's version.
+const MOVE_PENALTY: f64 = 0.5;
+/// Range of the random number of requests that is added to the reported ones. Entries with the same
+/// reports would otherwise all choose the same engine.
+const TIE_SPREAD: f64 = 1.5;
 /// Requests that an entry may have in flight at an instance beyond the instance's slots.
 const MAX_WAITING: u32 = 8;
 /// Retry delay when every instance is busy: about the duration of a typical answer, after which the
@@ -79,9 +92,20 @@
     pub regions: [&'a [name::Region]; 2],
     /// Instances that have already been tried for this request.
     pub tried: &'a [name::Instance],
-    /// The number of more urgent priorities in use, if the service is shared by priority. Without
-    /// it, load reports are not used.
-    pub rank: Option<u32>,
+    /// How the request shares the engines, if the service is shared by priority. Without it, load
+    /// reports are not used.
+    pub share: Option<Share<'a>>,
+}
+
+/// How a request shares the engines of a service with requests of other priorities.
+#[derive(Clone, Copy, Debug)]
+pub struct Share<'a> {
+    /// The number of more urgent priorities in use.
+    pub rank: u32,
+    /// The expected time until the response ends.
+    pub span: Duration,
+    /// The zone to which [`Placer::spill`] sends the request, if it leaves its zone.
+    pub zone: Option<&'a name::AvailabilityZone>,
 }
 
 /// What the engines that may serve a request can do.
@@ -174,13 +198,12 @@
     due_at: Instant,
 }
 
-/// The number of requests at an engine at which it gets no further one of a priority, which has so
-/// many more urgent ones above it. Less urgent requests leave slots free for more urgent ones.
+/// The number of requests at an engine at which it gets no further one of the given rank.
 fn occupancy_limit(slots: u32, rank: u32) -> u32 {
-    (slots + URGENT_BACKLOG)
-        .saturating_sub(rank)
-        .max(slots / 2)
-        .max(1)
+    slots.saturating_add(match rank {
+        0 => MAX_URGENT_BACKLOG,
+        _ => MAX_BACKLOG,
+    })
 }
 
 /// Chooses instances for the requests of one entry.
@@ -206,6 +229,8 @@
     cold_limit: Limit,
     /// The load that agents and other entries report.
     reports: load::Table,
+    /// The work that leaves the zone, by service.
+    spillovers: HashMap<name::Service, Spillover>,
     rng: StdRng,
 }
 
@@ -233,6 +258,7 @@
             engines: HashMap::new(),
             cold_limit: Limit::default(),
             reports: load::Table::new(),
+            spillovers: HashMap::new(),
             rng,
         }
     }
@@ -277,6 +303,8 @@
         self.notices
             .retain(|id| view.instances.contains_key(id), now);
         self.reports.sweep(now);
+        self.spillovers
+            .retain(|service, _| view.services.contains_key(service));
     }
 
     /// Records a load report of an agent or another entry. Returns `false` if a newer one of its
@@ -297,6 +325,10 @@
 
     /// Chooses the eligible instance with the lowest score.
     ///
+    /// Requests that share engines by priority go to the zone that [`Placer::spill`] chose, or else
+    /// stay in the zone of this entry. They leave it also if no instance there may serve them, or
+    /// if all of them are busy and another zone reports free capacity.
+    ///
     /// # Errors
     ///
     /// [`Error`] if no eligible instance has capacity now.
@@ -305,6 +337,36 @@
         view: &View,
         requirements: &Requirements<'_>,
         now: Instant,
+    ) -> Result<Choice, Error> {
+        let Some(share) = requirements.share else {
+            return self.choose_among(view, requirements, now, |_| true);
+        };
+        let home = self.zone.clone();
+        if let Some(zone) = share.zone.filter(|zone| **zone != home) {
+            let remote = self.choose_among(view, requirements, now, |other| other == zone);
+            if remote.is_ok() {
+                return remote;
+            }
+        }
+        let local = self.choose_among(view, requirements, now, |zone| *zone == home);
+        match local {
+            Ok(choice) => Ok(choice),
+            Err(Error::Busy) => {
+                let spillover = self.spillovers.get(requirements.service);
+                let free = spillover.map(Spillover::free_zones).unwrap_or_default();
+                let remote = self.choose_among(view, requirements, now, |zone| free.contains(zone));
+                remote.map_err(|_| Error::Busy)
+            }
+            Err(_) => self.choose_among(view, requirements, now, |_| true),
+        }
+    }
+
+    fn choose_among(
+        &mut self,
+        view: &View,
+        requirements: &Requirements<'_>,
+        now: Instant,
+        is_wanted: impl Fn(&name::AvailabilityZone) -> bool,
     ) -> Result<Choice, Error> {
         let Some(service) = view.services.get(requirements.service).cloned() else {
             return Err(Error::NoInstance);
@@ -312,7 +374,7 @@
         let mut error = Error::NoInstance;
         let mut best: Option<(f64, Choice)> = None;
         for instance in view.instances.values() {
-            if self.is_suspected(instance, now) {
+            if !is_wanted(&instance.zone) || self.is_suspected(instance, now) {
                 continue;
             }
             let Some(version) = self.eligible_version(view, &service, instance, requirements, now)
@@ -568,19 +630,32 @@
             return None;
         }
         let slots = f64::from(instance.slots.max(1));
-        let reported = match requirements.rank {
+        let reported = match requirements.share {
             Some(_) => self.reports.occupancy(instance.address, now),
             None => None,
         };
-        let running = match (requirements.rank, reported) {
-            (Some(rank), Some(occupancy)) => {
-                if occupancy.requests >= occupancy_limit(instance.slots, rank) {
+        let running = match (requirements.share, reported) {
+            (Some(share), Some(occupancy)) => {
+                if occupancy.requests >= occupancy_limit(instance.slots, share.rank) {
                     return None;
                 }
-                let pace = f64::from(occupancy.pace_percent.max(1)) / 100.0;
-                f64::from(occupancy.requests) * pace / slots
+                let pace = f64::from(occupancy.pace_percent.max(1)) / PERCENT;
+                let moves_early = occupancy.moves_in.is_some_and(|left| left < share.span);
+                let penalty = match moves_early {
+                    true => MOVE_PENALTY,
+                    false => 0.0,
+                };
+                let spread = self.rng.random_range(0.0..TIE_SPREAD);
+                (f64::from(occupancy.requests) + spread) * pace / slots + penalty
             }
-            _ => f64::from(load.in_flight) * f64::from(entries) / slots,
+            (Some(_), None) => {
+                let running = f64::from(load.in_flight) * f64::from(entries) / slots;
+                if running >= 1.0 {
+                    return None;
+                }
+                running
+            }
+            (None, _) => f64::from(load.in_flight) * f64::from(entries) / slots,
         };
         let prefill = service.engine.as_ref().map_or(0.0, |engine| {
             let seconds = load.prefill_tokens as f64 / f64::from(engine.read_per_s.max(1));
@@ -599,6 +674,72 @@
         Some(running + prefill + distance + coldness + jitter)
     }
 
+    /// Adjusts how much of a service's work leaves the zone. `own` is the work that callers of this
+    /// entry ask for, in engine milliseconds per second.
+    pub fn plan_spillover(&mut self, view: &View, service: &name::Service, own: f64, now: Instant) {
+        let zones = self.zones(view, service, own, now);
+        let home = zones.get(&self.zone).copied().unwrap_or_default();
+        let others = zones
+            .into_iter()
+            .filter(|(zone, _)| *zone != self.zone)
+            .collect();
+        let spillover = self.spillovers.entry(service.clone()).or_default();
+        spillover.update(home, &others);
+    }
+
+    /// The zone to which a request leaves that takes so much engine time, in milliseconds, or `None`
+    /// if it stays at home.
+    pub fn spill(
+        &mut self,
+        service: &name::Service,
+        work_ms: f64,
+    ) -> Option<name::AvailabilityZone> {
+        self.spillovers.get_mut(service)?.choose(work_ms)
+    }
+
+    /// The part of a service's work that leaves the zone.
+    pub fn spilled_share(&self, service: &name::Service) -> f64 {
+        self.spillovers.get(service).map_or(0.0, Spillover::share)
+    }
+
+    /// The load of the zones in service whose demand is known, by the engines that are ready.
+    fn zones(
+        &self,
+        view: &View,
+        service: &name::Service,
+        own: f64,
+        now: Instant,
+    ) -> BTreeMap<name::AvailabilityZone, Zone> {
+        let mut zones = BTreeMap::<name::AvailabilityZone, Zone>::new();
+        for instance in view.instances.values() {
+            let is_ready = instance.service == *service
+                && instance.phase == Phase::Ready
+                && !view.zones_out.contains(&instance.zone)
+                && !self.is_suspected(instance, now);
+            if !is_ready {
+                continue;
+            }
+            let occupancy = self.reports.occupancy(instance.address, now);
+            let pace = occupancy.map_or(100, |occupancy| occupancy.pace_percent.max(1));
+            let zone = zones.entry(instance.zone.clone()).or_default();
+            zone.capacity += MILLIS_PER_SECOND * PERCENT / f64::from(pace);
+        }
+        zones.entry(self.zone.clone()).or_default();
+        let sum = |demand: BTreeMap<Priority, Demand>| {
+            let offered = demand.values().map(|part| f64::from(part.offered_ms));
+            offered.sum::<f64>()
+        };
+        zones.retain(|name, zone| {
+            let demand = match *name == self.zone {
+                true => Some(own + sum(self.reports.demand_in_zone(service, now))),
+                false => self.reports.demand_of_zone(name, service, now).map(sum),
+            };
+            zone.demand = demand.unwrap_or_default();
+            demand.is_some()
+        });
+        zones
+    }
+
     /// The mean number of requests per slot at the engines that may serve the request, and their
     /// capacity in engine milliseconds per second. Engines without a recent report count as full
     /// and of the described pace.
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -182,7 +182,7 @@
                 pinned: None,
                 regions: [&[], &[]],
                 tried: &[],
-                rank: None,
+                share: None,
             };
             if let Ok(choice) = life.placer.choose(view, &requirements, now) {
                 life.placer.begin(view, &choice, 0, now);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -355,7 +355,7 @@
             pinned,
             regions: [&self.route.regions, &self.caller_regions],
             tried: &self.tried,
-            rank: None,
+            share: None,
         }
     }
 
