Date a version by when it was first seen missing, also soon after a start

Cause: an entry took each version that it heard of within 2.3 s of its start for one named long before, and stopped using the older version although no engine had the new one.

Ruled out: the age of the feed (0.8 s), engines (others used them), admission.

Change: only a version in the first state counts from the start.

Measured: the new test fails without the change; placement (11) and sharing (9) pass.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -212,6 +212,8 @@
     regions: HashMap<name::AvailabilityZone, name::Region>,
     grace: Grace,
     started_at: Instant,
+    /// Whether a state of the fleet has been observed.
+    has_state: bool,
     loads: HashMap<name::Instance, Load>,
     breakers: breaker::Table<name::Instance>,
     /// What the instances said of themselves.
@@ -249,6 +251,7 @@
             regions,
             grace,
             started_at: now,
+            has_state: false,
             loads: HashMap::new(),
             breakers: breaker::Table::new(),
             notices: notice::Table::new(Duration::ZERO),
@@ -776,11 +779,13 @@
     }
 
     fn observe_targets(&mut self, view: &View, now: Instant) {
-        let is_first = now.since(self.started_at) < self.grace.unseen;
+        // A target that an earlier state did not have was set since then, also soon after a start.
+        let is_first = !self.has_state && now.since(self.started_at) < self.grace.unseen;
         let due_at = match is_first {
             true => self.started_at + self.grace.unseen,
             false => now + self.grace.seen,
         };
+        self.has_state |= !view.instances.is_empty();
         for (model, version) in &view.targets {
             let targets = self.targets.entry(model.clone()).or_default();
             if targets.last().is_some_and(|last| last.version >= *version) {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -183,6 +183,37 @@
     );
 }
 
+/// Guards against an entry that takes a version for one that was due long ago because the entry
+/// started shortly before the version was set. It refused everything for four seconds, until the
+/// first engines had switched.
+#[test]
+fn version_set_after_the_start_is_due_like_any_other() {
+    let soon = Instant::ZERO + GRACE.unseen / 2;
+    let instances = vec![instance(1, "a", 1)];
+    let before = view(fleet(instances.clone()));
+    let after = view(fleet(instances).into_iter().chain([target(2)]));
+    let cases = [
+        ("set before the start", [&after, &after], GRACE.unseen),
+        (
+            "set after the start",
+            [&before, &after],
+            GRACE.unseen / 2 + GRACE.seen,
+        ),
+    ];
+    for (name, states, due) in cases {
+        let mut placer = placer();
+        placer.observe(states[0], Instant::ZERO);
+        placer.observe(states[1], soon);
+        let due_at = Instant::ZERO + due;
+        let just_before = due_at - Duration::from_millis(1);
+        let request = Request::new();
+        let early = choose(&mut placer, states[1], &request, just_before);
+        let late = choose(&mut placer, states[1], &request, due_at);
+        assert_eq!(early, Ok("i-1".to_owned()), "{name}");
+        assert_eq!(late, Err(Error::NoInstance), "{name}");
+    }
+}
+
 /// The VM of the process that belongs to the instance with the same number.
 fn vm(n: u16, upstream: Upstream, lifecycle: Lifecycle) -> Record {
     Record::Vm(Box::new(Vm {
