Decide who sends which load report to whom, and which reports count

Cause: load reports had types and a table but no sender. Agents get no routes, so they could not tell whether their service is shared by priority.

Control lists the shared services in the head of the routing. Sums of a zone with more entries than each reports to are scaled to all of them. `Site` records reports and will state the demand.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -22,6 +22,7 @@
 use peer::control::Scope;
 use policy::{
     changes::{Update, for_agent, for_entry},
+    load,
     membership::{Limits, Table},
     state::State,
 };
@@ -243,6 +244,7 @@
             version: document.version,
             limits: table.limits,
             has_callers: !table.callers.is_empty(),
+            shared: load::shared(&table),
         };
         let services = table
             .services
--- a/crates/domain/src/record.rs
+++ b/crates/domain/src/record.rs
@@ -41,7 +41,7 @@
 }
 
 /// The parts of the routing in force that have no records of their own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Routing {
     /// The version number that the operator gave the routing.
     pub version: u64,
@@ -49,6 +49,10 @@
     pub limits: routing::Limits,
     /// Whether callers need a key on routes that are not public.
     pub has_callers: bool,
+    /// The services that share their engines by priority. Agents get no routes, from which this
+    /// follows.
+    #[serde(default)]
+    pub shared: Vec<name::Service>,
 }
 
 /// The version that a model's engines should serve.
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -17,11 +17,13 @@
     clock::Instant,
     load::{Content, Demand, Engine, Priority, Report},
     name,
-    routing::Route,
+    routing::{self, Route},
 };
 
 use crate::view::View;
 
+pub mod exchange;
+
 /// Age at which a report no longer counts. Several reports may be lost before that.
 pub const MAX_AGE: Duration = Duration::from_millis(1_000);
 
@@ -68,6 +70,8 @@
     engines: HashMap<SocketAddr, EngineState>,
     entries: HashMap<name::Vm, DemandState>,
     zones: HashMap<name::AvailabilityZone, DemandState>,
+    /// The number of other entries in the zone of this one, as the feed lists them.
+    others: usize,
 }
 
 impl Table {
@@ -117,6 +121,26 @@
         true
     }
 
+    /// Sets how many other entries the feed lists in the zone of this one. In a zone with more
+    /// entries than each reports to, the sums are scaled up from those that are heard.
+    pub fn set_others(&mut self, others: usize) {
+        self.others = others;
+    }
+
+    /// The number of engines with a recent report.
+    pub fn recent_engines(&self, now: Instant) -> usize {
+        let states = self.engines.values();
+        let is_recent = |state: &&EngineState| now.since(state.received_at) < MAX_AGE;
+        states.filter(is_recent).count()
+    }
+
+    /// The number of other entries of the zone with a recent report.
+    pub fn recent_entries(&self, now: Instant) -> usize {
+        let states = self.entries.values();
+        let is_recent = |state: &&DemandState| now.since(state.received_at) < MAX_AGE;
+        states.filter(is_recent).count()
+    }
+
     /// Records that this entry sends a request to an engine.
     pub fn begin(&mut self, engine: SocketAddr) {
         if let Some(state) = self.engines.get_mut(&engine) {
@@ -151,9 +175,15 @@
 
     /// The demand for a service at the other entries of all zones, by priority.
     pub fn demand(&self, service: &name::Service, now: Instant) -> BTreeMap<Priority, Demand> {
-        let states = self.entries.values().chain(self.zones.values());
-        let recent = states.filter(|state| now.since(state.received_at) < MAX_AGE);
-        sum(recent.flat_map(|state| &state.demand), service)
+        let zones = self.zones.values();
+        let recent = zones.filter(|state| now.since(state.received_at) < MAX_AGE);
+        let mut sums = self.demand_in_zone(service, now);
+        add(
+            &mut sums,
+            recent.flat_map(|state| &state.demand).cloned(),
+            service,
+        );
+        sums
     }
 
     /// The demand for a service at the other entries of this entry's zone, by priority.
@@ -162,11 +192,27 @@
         service: &name::Service,
         now: Instant,
     ) -> BTreeMap<Priority, Demand> {
-        let recent = self
-            .entries
-            .values()
-            .filter(|state| now.since(state.received_at) < MAX_AGE);
-        sum(recent.flat_map(|state| &state.demand), service)
+        let entries = self.entries.values();
+        let recent = entries.filter(|state| now.since(state.received_at) < MAX_AGE);
+        let mut sums = BTreeMap::new();
+        add(
+            &mut sums,
+            recent.flat_map(|state| &state.demand).cloned(),
+            service,
+        );
+        let heard = self.recent_entries(now);
+        if self.others > exchange::ENTRY_FANOUT && heard > 0 && heard < self.others {
+            let scale = |value: u32| {
+                let scaled = u64::from(value) * self.others as u64 / heard as u64;
+                u32::try_from(scaled).unwrap_or(u32::MAX)
+            };
+            for sum in sums.values_mut() {
+                sum.offered_ms = scale(sum.offered_ms);
+                sum.admitted_ms = scale(sum.admitted_ms);
+                sum.waiting = scale(sum.waiting);
+            }
+        }
+        sums
     }
 
     /// Removes outdated reports. The numbers of their senders are kept for a while, so that a
@@ -185,27 +231,47 @@
 
 /// Whether the load of a service is reported and shared by priority: it runs on engines, and the
 /// routes that lead to it differ in priority. The priorities of customers alone don't ask for it.
+/// Agents get no routes, so control lists these services for them in the head of the routing.
 pub fn is_shared(view: &View, service: &name::Service) -> bool {
     let has_engines = view
         .services
         .get(service)
         .is_some_and(|service| service.engine.is_some());
-    let leads_here = |route: &&Arc<Route>| {
+    let is_listed = || {
+        let routing = view.routing.as_ref();
+        routing.is_some_and(|routing| routing.shared.contains(service))
+    };
+    let routes = || view.routes.iter().map(Arc::as_ref);
+    has_engines && (is_listed() || has_several_priorities(routes(), service))
+}
+
+/// The services of a routing that are shared by priority; see [`is_shared`].
+pub fn shared(table: &routing::Table) -> Vec<name::Service> {
+    let services = table.services.iter().filter(|service| {
+        service.engine.is_some() && has_several_priorities(table.routes.iter(), &service.name)
+    });
+    services.map(|service| service.name.clone()).collect()
+}
+
+fn has_several_priorities<'a>(
+    routes: impl Iterator<Item = &'a Route>,
+    service: &name::Service,
+) -> bool {
+    let leads_here = |route: &&Route| {
         let mut shares = route.shares.iter();
         shares.any(|share| share.weight > 0 && share.service == *service)
     };
-    let routes = view.routes.iter().filter(leads_here);
-    let mut priorities = routes.map(|route| route.priority);
+    let mut priorities = routes.filter(leads_here).map(|route| route.priority);
     let first = priorities.next();
-    has_engines && priorities.any(|priority| Some(priority) != first)
+    priorities.any(|priority| Some(priority) != first)
 }
 
-/// Adds up the demand for one service by priority.
-fn sum<'a>(
-    demand: impl Iterator<Item = &'a Demand>,
+/// Adds demand for one service to its sums by priority.
+fn add(
+    sums: &mut BTreeMap<Priority, Demand>,
+    demand: impl Iterator<Item = Demand>,
     service: &name::Service,
-) -> BTreeMap<Priority, Demand> {
-    let mut sums = BTreeMap::<Priority, Demand>::new();
+) {
     for part in demand.filter(|part| part.service == *service) {
         sums.entry(part.priority)
             .and_modify(|sum| {
@@ -213,7 +279,6 @@
                 sum.admitted_ms = sum.admitted_ms.saturating_add(part.admitted_ms);
                 sum.waiting = sum.waiting.saturating_add(part.waiting);
             })
-            .or_insert_with(|| part.clone());
+            .or_insert(part);
     }
-    sums
 }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -271,6 +271,7 @@
             .filter(|announcement| announcement.upstream == Upstream::Entry)
             .map(|announcement| (&announcement.vm, &announcement.zone));
         self.roster.observe(entries, view.instances.len(), now);
+        self.reports.set_others(self.others_in_zone(view));
         self.loads
             .retain(|id, load| load.in_flight > 0 || view.instances.contains_key(id));
         self.breakers.retain(|id| view.instances.contains_key(id));
@@ -656,6 +657,13 @@
         }
     }
 
+    /// The number of other entries in the zone of this one.
+    fn others_in_zone(&self, view: &View) -> usize {
+        let vms = view.vms.values().map(|vm| &vm.announcement);
+        let entries = vms.filter(|who| who.upstream == Upstream::Entry && who.zone == self.zone);
+        entries.count().saturating_sub(1)
+    }
+
     fn observe_engines(&mut self, view: &View) {
         let agents = view
             .vms
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -164,7 +164,7 @@
 ) -> Result<Resolved, Failure> {
     let feed = site.feed();
     let view = &feed.view;
-    let routing = view.routing.ok_or_else(Failure::unknown)?;
+    let routing = view.routing.as_ref().ok_or_else(Failure::unknown)?;
     let now = site.now();
     let age_ms = feed
         .bound
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -11,6 +11,7 @@
 use domain::{
     clock::{Clock, Instant},
     instance::Instance,
+    load::{Demand, Report},
     name,
     routing::{Kind, Limits, Route},
 };
@@ -157,6 +158,7 @@
         let feed = self.feed();
         feed.view
             .routing
+            .as_ref()
             .map(|routing| routing.limits)
             .unwrap_or_default()
     }
@@ -433,3 +435,17 @@
         });
     }
 }
+
+impl Site {
+    /// Records a load report of an agent or another entry. Returns `false` if a newer one of its
+    /// sender is known.
+    pub fn observe_load(&self, report: Report) -> bool {
+        let now = self.now();
+        self.place(|placer| placer.observe_load(report, now))
+    }
+
+    /// The demand of this entry's callers for services that are shared by priority.
+    pub fn demand(&self) -> Vec<Demand> {
+        Vec::new()
+    }
+}
--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -296,6 +296,7 @@
 pub(crate) fn control(upstreams: &[SocketAddr]) -> Rc<Control> {
     let records = [
         Record::Routing(Routing {
+            shared: Vec::new(),
             version: 1,
             limits: Limits::default(),
             has_callers: false,
