--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod connection;
 pub mod control;
 pub mod error;
+pub mod load;
 pub mod pack;
 pub mod replica;
 pub mod seeds;
