Exchange load reports between agents and entries

Cause: an entry knew the load of engines only from its own requests.

Change: an agent whose service is shared reads the figures of its engine every 100 ms and reports them, with the time until the engine switches version once that is scheduled.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod front;
 pub mod gate;
 pub mod journal;
+pub mod load;
 pub mod meters;
 pub mod pool;
 pub mod site;
--- a/crates/stager/src/lib.rs
+++ b/crates/stager/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod bring;
 mod link;
+pub mod load;
 pub mod port;
 mod share;
 mod shelf;
--- a/crates/stager/src/port.rs
+++ b/crates/stager/src/port.rs
@@ -20,12 +20,29 @@
 pub type Answer<'a, T> = LocalBoxFuture<'a, Result<T, Error>>;
 
 /// What the engine says of itself.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
     /// Each model that it serves alone, with the version.
     pub serving: Vec<(name::Artifact, u64)>,
     /// Whether an order is in progress.
     pub is_busy: bool,
+    /// How loaded it is, if it says so.
+    pub figures: Option<Figures>,
+}
+
+/// How loaded an engine is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Figures {
+    /// Requests in the running batch.
+    pub active: u32,
+    /// Requests that wait for a place in the batch.
+    pub queued: u32,
+    /// Tokens that the context memory holds.
+    pub kv_used: u64,
+    /// Tokens that the context memory can hold.
+    pub kv_total: u64,
+    /// Duration of a step relative to that of a healthy engine.
+    pub pace: f64,
 }
 
 impl Report {
--- a/crates/stager/src/stager.rs
+++ b/crates/stager/src/stager.rs
@@ -85,7 +85,7 @@
 
 /// The agent beside one engine.
 pub struct Stager {
-    given: Given,
+    pub(crate) given: Given,
     shelf: Rc<Shelf>,
     link: Rc<Link>,
     peers: Peers,
@@ -94,6 +94,9 @@
     named: RefCell<HashMap<(name::Artifact, u64), Option<Instant>>>,
     /// The version whose list was found to be wrong.
     doubted: Cell<Option<Digest>>,
+    /// When the engine stops accepting requests in order to load another version, once that
+    /// version is held.
+    moves_at: Cell<Option<Instant>>,
 }
 
 /// What a model's engine should do next.
@@ -114,6 +117,7 @@
             link: Rc::new(Link::new(given.link_bytes_per_s, given.clock.clone())),
             named: RefCell::default(),
             doubted: Cell::default(),
+            moves_at: Cell::default(),
             started_at,
             given,
         })
@@ -138,6 +142,12 @@
         }
     }
 
+    /// The time until the engine stops accepting requests in order to load another version, if
+    /// that is scheduled.
+    pub fn moves_in(&self, now: Instant) -> Option<Duration> {
+        self.moves_at.get().map(|at| at.since(now))
+    }
+
     /// Takes in the state, and says which version the engine should serve.
     fn observe(&self) -> Option<Task> {
         let feed = (self.given.state)();
@@ -191,6 +201,8 @@
 
     /// Brings the engine to one version, until another one is named.
     async fn serve(self: &Rc<Self>, task: &Task) {
+        // A version that was overtaken is loaded no more.
+        self.moves_at.set(None);
         let origin = (self.given.origin)(task.origin);
         let Some(manifest) = self.manifest(task, &origin).await else {
             return;
@@ -317,6 +329,11 @@
         let served = report.version_of(&task.model);
         let is_moving = report.is_busy || served.is_none();
         self.tell(&task.model, served, is_moving);
+        if report.is_busy {
+            self.moves_at.set(Some(self.given.clock.now()));
+        } else if served == Some(task.version) {
+            self.moves_at.set(None);
+        }
         if served == Some(task.version) || report.is_busy {
             let period = match is_moving {
                 true => PERIOD,
@@ -330,6 +347,7 @@
             Some(served) => self.due_at(task, served, bring),
             None => self.started_at,
         };
+        self.moves_at.set(served.map(|_| due_at));
         let now = self.given.clock.now();
         if now < due_at {
             self.pause(task, due_at.since(now).min(REPORT_PERIOD)).await;
--- a/crates/stager/tests/versions.rs
+++ b/crates/stager/tests/versions.rs
@@ -81,6 +81,7 @@
             Ok(Report {
                 serving: vec![("m".into(), self.0.serving.get())],
                 is_busy: false,
+                figures: None,
             })
         }
         .boxed_local()
