Read the shared services from the head of the routing alone

Cause: each question whether a service is shared walked all routes, of which there may be thousands, and agents have none.

Change: control lists the services in the head of the routing, and nothing else is asked. The tests' views have such a head.

--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -9,7 +9,6 @@
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
-    sync::Arc,
     time::Duration,
 };
 
@@ -224,7 +223,11 @@
     ) -> Option<BTreeMap<Priority, Demand>> {
         let state = self.zones.get(zone)?;
         let is_recent = now.since(state.received_at) < MAX_AGE;
-        is_recent.then(|| sum(state.demand.iter(), service))
+        is_recent.then(|| {
+            let mut sums = BTreeMap::new();
+            add(&mut sums, state.demand.iter().cloned(), service);
+            sums
+        })
     }
 
     /// Removes outdated reports. The numbers of their senders are kept for a while, so that a
@@ -241,23 +244,15 @@
     }
 }
 
-/// Whether the load of a service is reported and shared by priority: it runs on engines, and the
-/// routes that lead to it differ in priority. The priorities of customers alone don't ask for it.
-/// Agents get no routes, so control lists these services for them in the head of the routing.
+/// Whether the load of a service is reported and shared by priority. Control lists these services
+/// in the head of the routing, because agents get no routes and a routing may have thousands.
 pub fn is_shared(view: &View, service: &name::Service) -> bool {
-    let has_engines = view
-        .services
-        .get(service)
-        .is_some_and(|service| service.engine.is_some());
-    let is_listed = || {
-        let routing = view.routing.as_ref();
-        routing.is_some_and(|routing| routing.shared.contains(service))
-    };
-    let routes = || view.routes.iter().map(Arc::as_ref);
-    has_engines && (is_listed() || has_several_priorities(routes(), service))
+    let routing = view.routing.as_ref();
+    routing.is_some_and(|routing| routing.shared.contains(service))
 }
 
-/// The services of a routing that are shared by priority; see [`is_shared`].
+/// The services of a routing that are shared by priority: they run on engines, and the routes that
+/// lead to them differ in priority. The priorities of customers alone don't ask for it.
 pub fn shared(table: &routing::Table) -> Vec<name::Service> {
     let services = table.services.iter().filter(|service| {
         service.engine.is_some() && has_several_priorities(table.routes.iter(), &service.name)
--- a/crates/policy/tests/load.rs
+++ b/crates/policy/tests/load.rs
@@ -66,6 +66,21 @@
     }
 }
 
+/// The head of a routing with these routes, as control writes it.
+fn head(routes: &[Route]) -> Record {
+    let table = routing::Table {
+        routes: routes.to_vec(),
+        services: vec![service()],
+        ..Default::default()
+    };
+    Record::Routing(Routing {
+        version: 1,
+        limits: Limits::default(),
+        has_callers: false,
+        shared: shared(&table),
+    })
+}
+
 fn route(name: &str, priority: u8) -> Route {
     Route {
         name: name.into(),
@@ -175,7 +190,9 @@
 }
 
 fn view_of(processes: &[Process]) -> View {
-    let routes = [route("urgent", 0), route("other", 1)].map(Record::Route);
+    let routes = vec![route("urgent", 0), route("other", 1)];
+    let head = head(&routes);
+    let routes = routes.into_iter().map(Record::Route).chain([head]);
     let services = [Record::Service(Box::new(service()))];
     let vms = processes.iter().map(Process::record);
     view(services.into_iter().chain(routes).chain(vms))
@@ -354,18 +371,8 @@
 #[test]
 fn head_of_the_routing_says_which_services_are_shared() {
     for (priorities, expected) in [([0, 0], false), ([0, 1], true)] {
-        let table = routing::Table {
-            routes: vec![route("a", priorities[0]), route("b", priorities[1])],
-            services: vec![service()],
-            ..Default::default()
-        };
-        let head = Routing {
-            version: 1,
-            limits: Limits::default(),
-            has_callers: false,
-            shared: shared(&table),
-        };
-        let records = [Record::Service(Box::new(service())), Record::Routing(head)];
+        let head = head(&[route("a", priorities[0]), route("b", priorities[1])]);
+        let records = [Record::Service(Box::new(service())), head];
         assert_eq!(is_shared(&view(records), &SERVICE.into()), expected);
     }
 }
@@ -375,7 +382,9 @@
 fn nothing_is_sent_or_accepted_where_no_service_is_shared() {
     let all = processes(2, 3, 2);
     let vms = all.iter().map(Process::record);
-    let routes = [route("a", 1), route("b", 1)].map(Record::Route);
+    let routes = vec![route("a", 1), route("b", 1)];
+    let head = head(&routes);
+    let routes = routes.into_iter().map(Record::Route).chain([head]);
     let services = [Record::Service(Box::new(service()))];
     let view = view(services.into_iter().chain(routes).chain(vms));
     for process in &all {
