Admit each size and rare customers in proportion, and add the queue of waiting requests

Cause: with one credit of work for all sizes, large requests were starved at small fractions. Customers that an entry sees rarely were all admitted or all refused, because each began with the same credit. The correction followed the occupancy of engines only, which never rises above its upper threshold for priorities whose limit is below the slots, so it could only grow.

Change: a customer has a credit for each size within a factor of two, and the first one is drawn. Rates of customers are averaged over 10 s. The correction also follows the requests that wait at the entries. Requests to which the fraction doesn't apply are counted when they are sent.

--- a/crates/policy/src/level.rs
+++ b/crates/policy/src/level.rs
@@ -2,8 +2,8 @@
 //!
 //! It handles demand above the capacity of the engines, where requests differ in urgency. Every
 //! entry derives the same fractions from the same load reports, so that the least urgent work is
-//! shed at all entries at the same time. Within a priority, customers share the admitted work. See
-//! `docs/LOAD.md`, "Admission by priority".
+//! shed at all entries at the same time. Within a priority, customers share the admitted work, and
+//! requests of each size are admitted equally often. See `docs/LOAD.md`, "Admission by priority".
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -11,6 +11,7 @@
 };
 
 use domain::{clock::Instant, load::Priority, name};
+use rand::{RngExt, rngs::StdRng};
 
 /// The part of a proportional cut that each priority keeps. Under a proportional cut all priorities
 /// are served equally often; a kind of request that is served less than a quarter as often as the
@@ -19,10 +20,13 @@
 /// The part of a priority's fraction that each customer gets before the rest is shared equally. A
 /// large customer is therefore served at least half as often as the others.
 const CUSTOMER_FLOOR: f64 = 0.5;
-/// The time over which rates are averaged.
+/// The time over which the rates of priorities are averaged.
 const RATE_SPAN: Duration = Duration::from_secs(1);
+/// The time over which the rates of customers are averaged. With a shorter one, a customer that
+/// sends a request every second seems to send less whenever one arrives, and gets too much.
+const CUSTOMER_RATE_SPAN: Duration = Duration::from_secs(10);
 /// Customers that sent nothing for so long are forgotten.
-const IDLE_SPAN: Duration = Duration::from_secs(10);
+const IDLE_SPAN: Duration = Duration::from_secs(30);
 
 /// Minimum time between two adjustments of the capacity.
 const PERIOD: Duration = Duration::from_millis(250);
@@ -30,6 +34,12 @@
 const MAX_OCCUPANCY: f64 = 1.08;
 /// Requests per slot below which engines have free slots.
 const MIN_OCCUPANCY: f64 = 0.95;
+/// Requests per slot that wait at the entries above which more is admitted than engines accept. At
+/// one answer per slot and second, each request then waits 40 ms on average, a fifth of what the
+/// usual latency target permits.
+const MAX_WAITING: f64 = 0.04;
+/// Requests per slot that wait at the entries below which engines accept what is admitted at once.
+const MIN_WAITING: f64 = 0.01;
 /// Factor by which the capacity falls in each period with a standing queue.
 const DECREASE: f64 = 0.95;
 /// Factor by which the capacity grows in each period with free slots.
@@ -91,16 +101,18 @@
         self.factor
     }
 
-    /// Adjusts the factor by the mean number of requests per slot at the engines. `is_shedding`
-    /// tells whether work is refused; without that, free slots say nothing about the capacity.
-    pub fn observe(&mut self, occupancy: f64, is_shedding: bool, now: Instant) {
+    /// Adjusts the factor by the load of the engines. `is_shedding` tells whether work is refused;
+    /// without that, free slots say nothing about the capacity.
+    pub fn observe(&mut self, load: Load, is_shedding: bool, now: Instant) {
         if now.since(self.adjusted_at) < PERIOD {
             return;
         }
         self.adjusted_at = now;
+        let is_full = load.occupancy > MAX_OCCUPANCY || load.waiting > MAX_WAITING;
+        let is_free = load.occupancy < MIN_OCCUPANCY && load.waiting < MIN_WAITING;
         let factor = match () {
-            () if occupancy > MAX_OCCUPANCY => self.factor * DECREASE,
-            () if occupancy < MIN_OCCUPANCY && is_shedding => self.factor * INCREASE,
+            () if is_full => self.factor * DECREASE,
+            () if is_free && is_shedding => self.factor * INCREASE,
             // Returns to the described capacity, so that an old correction doesn't bind later.
             () if !is_shedding => self.factor + (1.0 - self.factor) * (1.0 - DECREASE),
             () => self.factor,
@@ -109,9 +121,23 @@
     }
 }
 
-/// A rate that is averaged over about [`RATE_SPAN`].
+/// The load of the engines of a service, by which the capacity is corrected.
+///
+/// The occupancy alone doesn't show that too much is admitted: engines get no further request of a
+/// less urgent priority while some slots are still free, so its requests wait at the entries.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// The mean number of requests per slot at the engines.
+    pub occupancy: f64,
+    /// Requests per slot that wait at all entries.
+    pub waiting: f64,
+}
+
+/// A moving average of a rate.
 #[derive(Clone, Copy, Debug)]
 pub struct Meter {
+    /// The time over which it is averaged.
+    span: Duration,
     /// Decayed sum of the amounts.
     sum: f64,
     updated_at: Instant,
@@ -119,8 +145,9 @@
 
 impl Meter {
     /// Creates a meter that has counted nothing.
-    pub fn new(now: Instant) -> Self {
+    pub fn new(span: Duration, now: Instant) -> Self {
         Self {
+            span,
             sum: 0.0,
             updated_at: now,
         }
@@ -134,24 +161,58 @@
 
     /// The amount per second.
     pub fn rate(&self, now: Instant) -> f64 {
-        self.decayed(now) / RATE_SPAN.as_secs_f64()
+        self.decayed(now) / self.span.as_secs_f64()
     }
 
     fn decayed(&self, now: Instant) -> f64 {
         let age = now.since(self.updated_at).as_secs_f64();
-        self.sum * (-age / RATE_SPAN.as_secs_f64()).exp()
+        self.sum * (-age / self.span.as_secs_f64()).exp()
     }
 }
 
 /// The work that one customer asks for at one priority.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Flow {
     offered: Meter,
     /// The fraction that is admitted.
     fraction: f64,
-    /// Admitted work that is due to the customer, in engine milliseconds. It carries the rounding
-    /// of one decision over to the next.
-    credit: f64,
+    /// Admitted requests that are due to the customer, by the size of requests. They carry the
+    /// rounding of one decision over to the next.
+    credits: BTreeMap<Size, f64>,
+}
+
+impl Flow {
+    /// Decides on one request by error diffusion: what is admitted too little or too much is made
+    /// up for by the next decision. Requests of each size have a credit of their own. With one
+    /// credit of work for all, small requests would use up what a large one needs.
+    fn admit(&mut self, work_ms: f64, rng: &mut StdRng) -> bool {
+        // The first decision is drawn, because customers that ask rarely would otherwise all be
+        // admitted or all be refused, at all entries.
+        let credit = self
+            .credits
+            .entry(Size::new(work_ms))
+            .or_insert_with(|| rng.random_range(-0.5..0.5));
+        if self.fraction >= 1.0 {
+            return true;
+        }
+        *credit += self.fraction;
+        let is_due = *credit >= 0.5;
+        if is_due {
+            *credit -= 1.0;
+        }
+        is_due
+    }
+}
+
+/// The binary logarithm of the work of a request in engine milliseconds. Requests of one size
+/// differ by less than a factor of two.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Size(u32);
+
+impl Size {
+    fn new(work_ms: f64) -> Self {
+        Self((work_ms.max(1.0) as u64).ilog2())
+    }
 }
 
 /// The work at one priority.
@@ -167,8 +228,8 @@
 impl Class {
     fn new(now: Instant) -> Self {
         Self {
-            offered: Meter::new(now),
-            admitted: Meter::new(now),
+            offered: Meter::new(RATE_SPAN, now),
+            admitted: Meter::new(RATE_SPAN, now),
             fraction: 1.0,
             flows: HashMap::new(),
         }
@@ -212,15 +273,19 @@
 }
 
 /// Admits requests for one service at one entry.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug)]
 pub struct Admitter {
     classes: BTreeMap<Priority, Class>,
+    rng: StdRng,
 }
 
 impl Admitter {
     /// Creates an admitter that has seen no requests.
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(rng: StdRng) -> Self {
+        Self {
+            classes: BTreeMap::new(),
+            rng,
+        }
     }
 
     /// The work that callers ask for, by priority.
@@ -259,8 +324,7 @@
     }
 
     /// Decides on a request that takes so much engine time, in milliseconds. Of the requests of a
-    /// customer the given fraction of work is admitted, by error diffusion: what is admitted too
-    /// little or too much is made up for by the next decision.
+    /// customer the given fraction of work is admitted.
     pub fn admit(
         &mut self,
         priority: Priority,
@@ -278,29 +342,27 @@
             .flows
             .entry(customer.cloned())
             .or_insert_with(|| Flow {
-                offered: Meter::new(now),
+                offered: Meter::new(CUSTOMER_RATE_SPAN, now),
                 fraction,
-                credit: 0.0,
+                credits: BTreeMap::new(),
             });
         flow.offered.add(work_ms, now);
-        let is_admitted = match flow.fraction < 1.0 {
-            // Without shedding nothing is owed, also not for what was refused before.
-            false => {
-                flow.credit = 0.0;
-                true
-            }
-            true => {
-                flow.credit += flow.fraction * work_ms;
-                let is_due = flow.credit >= work_ms / 2.0;
-                if is_due {
-                    flow.credit -= work_ms;
-                }
-                is_due
-            }
-        };
+        let is_admitted = flow.admit(work_ms, &mut self.rng);
         if is_admitted {
             class.admitted.add(work_ms, now);
         }
         is_admitted
     }
+
+    /// Counts a request that is sent although the fraction doesn't apply to it, for instance one
+    /// that comes back after a refusal. It is counted only when it is sent, so that the repeated
+    /// requests of refused callers don't appear as additional demand.
+    pub fn count(&mut self, priority: Priority, work_ms: f64, now: Instant) {
+        let class = self
+            .classes
+            .entry(priority)
+            .or_insert_with(|| Class::new(now));
+        class.offered.add(work_ms, now);
+        class.admitted.add(work_ms, now);
+    }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod pacer;
 pub mod placement;
 pub mod quarantine;
+pub mod queue;
 pub mod registry;
 pub mod replica;
 pub mod resolve;
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -169,6 +169,12 @@
         sum(recent.flat_map(|state| &state.demand), service)
     }
 
+    /// Whether the demand at any other entry is known.
+    pub fn knows_demand(&self, now: Instant) -> bool {
+        let mut states = self.entries.values().chain(self.zones.values());
+        states.any(|state| now.since(state.received_at) < MAX_AGE)
+    }
+
     /// Removes outdated reports. The numbers of their senders are kept for a while, so that a
     /// delayed report of one that has restarted is recognised.
     pub fn sweep(&mut self, now: Instant) {
