Admit requests of shared services by priority and let them wait until an engine accepts them

Cause: an entry limits how many requests run by how late answers begin, whatever their priority and length, and refuses the most urgent ones as often as the others.

Engines get the rank as urgency; retries keep it, and a resumed response has the most urgent one. `Gate::demand` gives the demand for reports. Metrics, log lines on shedding and the priority in the log line of a request are added. `Pass` is now `Permit`. Decisions for other services are unchanged.

--- a/crates/policy/src/level.rs
+++ b/crates/policy/src/level.rs
@@ -226,11 +226,11 @@
 }
 
 impl Class {
-    fn new(now: Instant) -> Self {
+    fn new(fraction: f64, now: Instant) -> Self {
         Self {
             offered: Meter::new(RATE_SPAN, now),
             admitted: Meter::new(RATE_SPAN, now),
-            fraction: 1.0,
+            fraction,
             flows: HashMap::new(),
         }
     }
@@ -276,6 +276,8 @@
 #[derive(Debug)]
 pub struct Admitter {
     classes: BTreeMap<Priority, Class>,
+    /// The fractions of all priorities in use, also of those that this entry hasn't seen yet.
+    fractions: BTreeMap<Priority, f64>,
     rng: StdRng,
 }
 
@@ -284,6 +286,7 @@
     pub fn new(rng: StdRng) -> Self {
         Self {
             classes: BTreeMap::new(),
+            fractions: BTreeMap::new(),
             rng,
         }
     }
@@ -306,23 +309,29 @@
 
     /// The fraction of a priority's work that is admitted.
     pub fn fraction(&self, priority: Priority) -> f64 {
-        self.classes
-            .get(&priority)
-            .map_or(1.0, |class| class.fraction)
+        self.fractions.get(&priority).copied().unwrap_or(1.0)
     }
 
     /// Whether any priority is admitted only in part.
     pub fn is_shedding(&self) -> bool {
-        self.classes.values().any(|class| class.fraction < 1.0)
+        self.fractions.values().any(|fraction| *fraction < 1.0)
     }
 
     /// Sets the fractions that [`fractions`] derives from the demand of the whole fleet.
-    pub fn set_fractions(&mut self, fractions: &BTreeMap<Priority, f64>, now: Instant) {
+    pub fn set_fractions(&mut self, fractions: BTreeMap<Priority, f64>, now: Instant) {
+        self.fractions = fractions;
         for (priority, class) in &mut self.classes {
-            class.set_fraction(fractions.get(priority).copied().unwrap_or(1.0), now);
+            let fraction = self.fractions.get(priority).copied().unwrap_or(1.0);
+            class.set_fraction(fraction, now);
         }
     }
 
+    fn class(&mut self, priority: Priority, now: Instant) -> &mut Class {
+        let fraction = self.fraction(priority);
+        let class = self.classes.entry(priority);
+        class.or_insert_with(|| Class::new(fraction, now))
+    }
+
     /// Decides on a request that takes so much engine time, in milliseconds. Of the requests of a
     /// customer the given fraction of work is admitted.
     pub fn admit(
@@ -332,12 +341,12 @@
         work_ms: f64,
         now: Instant,
     ) -> bool {
+        let fraction = self.fraction(priority);
         let class = self
             .classes
             .entry(priority)
-            .or_insert_with(|| Class::new(now));
+            .or_insert_with(|| Class::new(fraction, now));
         class.offered.add(work_ms, now);
-        let fraction = class.fraction;
         let flow = class
             .flows
             .entry(customer.cloned())
@@ -358,10 +367,7 @@
     /// that comes back after a refusal. It is counted only when it is sent, so that the repeated
     /// requests of refused callers don't appear as additional demand.
     pub fn count(&mut self, priority: Priority, work_ms: f64, now: Instant) {
-        let class = self
-            .classes
-            .entry(priority)
-            .or_insert_with(|| Class::new(now));
+        let class = self.class(priority, now);
         class.offered.add(work_ms, now);
         class.admitted.add(work_ms, now);
     }
--- a/crates/policy/tests/level.rs
+++ b/crates/policy/tests/level.rs
@@ -86,7 +86,7 @@
         }
         let level = fractions(capacity, &offered);
         for entry in &mut entries {
-            entry.set_fractions(&level, now);
+            entry.set_fractions(level.clone(), now);
         }
         let mut requests = Vec::new();
         for (n, stream) in streams.iter().enumerate() {
@@ -287,13 +287,23 @@
             let now = START + PERIOD * n;
             let customer = name::Customer::from(format!("c-{n}").as_str());
             admitted += u32::from(admitter.admit(priority(0), Some(&customer), 100.0, now));
-            admitter.set_fractions(&level, now);
+            admitter.set_fractions(level.clone(), now);
         }
         let got = f64::from(admitted) / 1_000.0;
         assert!((got - fraction).abs() < 0.08, "{fraction}: {got}");
     }
 }
 
+/// Guards against an entry that has restarted and admits all of a priority until it has seen some of
+/// its requests.
+#[test]
+fn a_fraction_holds_for_the_first_request_of_a_priority() {
+    let mut admitter = Admitter::new(StdRng::seed_from_u64(3));
+    admitter.set_fractions(BTreeMap::from([(priority(0), 0.0)]), START);
+    assert!(!admitter.admit(priority(0), None, 100.0, START));
+    assert!(admitter.admit(priority(1), None, 100.0, START));
+}
+
 /// Guards against requests for which the fraction doesn't hold and that aren't seen as demand.
 #[test]
 fn counted_requests_are_offered_and_admitted() {
@@ -304,11 +314,11 @@
     assert_eq!(admitter.offered(now), admitter.admitted(now));
     let rate = admitter.offered(now)[&priority(0)];
     assert!((rate - 1_000.0).abs() < 100.0, "{rate}");
-    admitter.set_fractions(&BTreeMap::from([(priority(0), 0.5)]), now);
+    admitter.set_fractions(BTreeMap::from([(priority(0), 0.5)]), now);
     assert!(admitter.is_shedding());
     assert_eq!(admitter.fraction(priority(0)), 0.5);
     assert_eq!(admitter.fraction(priority(1)), 1.0, "not known");
-    admitter.set_fractions(&BTreeMap::new(), now);
+    admitter.set_fractions(BTreeMap::new(), now);
     assert!(!admitter.is_shedding());
 }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -39,6 +39,8 @@
     pub(crate) customer: Option<name::Customer>,
     /// When the answer must be over.
     pub(crate) deadline: Instant,
+    /// The urgency among the requests that wait at the instance, where requests differ in priority.
+    pub(crate) urgency: Option<u8>,
 }
 
 /// The head of an instance's answer, with what is needed to read the rest.
@@ -136,7 +138,11 @@
         customer: outgoing.customer.as_ref(),
         version: choice.version,
         last_event,
-        urgency: None,
+        // An answer that has begun is continued before another one begins.
+        urgency: match last_event {
+            Some(_) => outgoing.urgency.map(|_| 0),
+            None => outgoing.urgency,
+        },
     };
     site.dialect.order(request.headers_mut(), &order);
     request
@@ -231,6 +237,6 @@
 
 /// How long a first sign of an answer is waited for before another instance is asked, if it may
 /// be: a multiple of the time that is aimed at.
-pub(crate) fn patience(target_ms: u32) -> Duration {
+pub(crate) fn silence_timeout(target_ms: u32) -> Duration {
     Duration::from_millis(u64::from(target_ms) * 3).max(Duration::from_millis(600))
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -3,7 +3,7 @@
 use std::{fmt::Display, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use domain::{clock::Instant, name, routing};
+use domain::{clock::Instant, load::Priority, name, routing};
 use http::{HeaderMap, Request, Response, Uri, header, request, response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
@@ -21,7 +21,7 @@
     attempt::{self, Answered, Outcome, Outgoing},
     body::{self, Body, Broken},
     dialect::Ask,
-    gate::{self, Pass},
+    gate::{self, Permit, shared},
     journal::{End, Trace},
     pool,
     site::{Site, Turn},
@@ -42,13 +42,16 @@
     pub(crate) caller_regions: Vec<name::Region>,
     pub(crate) outgoing: Outgoing,
     /// Whether it can still be answered in time.
-    pub(crate) chance: Timeliness,
+    pub(crate) timeliness: Timeliness,
+    pub(crate) priority: Priority,
     pub(crate) trace: Trace,
     pub(crate) tried: Vec<name::Instance>,
     /// How often it was sent.
     pub(crate) sent: u32,
-    /// Leave to run, once it is given.
-    pub(crate) pass: Option<Pass>,
+    /// The permit to run, once it is given.
+    pub(crate) permit: Option<Permit>,
+    /// The number of more urgent priorities in use, where the service is shared by priority.
+    pub(crate) rank: Option<u32>,
     /// Whether it tries out a part of its prompt that is in quarantine.
     pub(crate) is_probe: bool,
 }
@@ -111,11 +114,13 @@
                 service: resolved.service,
                 caller_regions: resolved.regions,
                 outgoing: resolved.outgoing,
-                chance: resolved.chance,
+                timeliness: resolved.timeliness,
+                priority: resolved.priority,
                 trace,
                 tried: Vec::new(),
                 sent: 0,
-                pass: None,
+                permit: None,
+                rank: None,
                 is_probe: false,
             };
             let shared = call.site.clone();
@@ -150,7 +155,8 @@
     service: name::Service,
     regions: Vec<name::Region>,
     outgoing: Outgoing,
-    chance: Timeliness,
+    timeliness: Timeliness,
+    priority: Priority,
 }
 
 /// Decides by the state, at one moment, whose request it is and where it may go.
@@ -194,18 +200,18 @@
         retry: placement::Error::NoInstance.retry_after(),
     })?;
     let timeout = Duration::from_millis(route.timeout_ms.into());
-    let patience = ask.patience.unwrap_or(timeout);
+    let caller_timeout = ask.patience.unwrap_or(timeout);
     if let Some(left) = site.ends_at().map(|at| at.since(now))
-        && !drain::admits(route.kind, patience.min(timeout), left)
+        && !drain::admits(route.kind, caller_timeout.min(timeout), left)
     {
         return Err(Failure::Refused {
             reason: "this entry ends".to_owned(),
             retry: Duration::ZERO,
         });
     }
-    trace.waited = site.has_waited(route, patience);
+    trace.waited = site.has_waited(route, caller_timeout);
     // A stream that is to go on has begun already.
-    let chance = match ask.last_event {
+    let timeliness = match ask.last_event {
         None if trace.waited > Duration::from_millis(route.target_ms.into()) => Timeliness::Late,
         _ => Timeliness::OnTime,
     };
@@ -226,10 +232,12 @@
             body,
             kind: route.kind,
             customer: caller.map(|caller| caller.name.clone()),
-            deadline: received_at + patience.min(timeout),
+            deadline: received_at + caller_timeout.min(timeout),
             ask,
+            urgency: None,
         },
-        chance,
+        timeliness,
+        priority: Priority::new(route, caller.map(|caller| &**caller)),
     })
 }
 
@@ -258,21 +266,26 @@
         if let Err(failure) = self.clear().await {
             return self.give_up(None, failure);
         }
-        if let Err(refusal) = self.enter().await {
-            return self.give_up(None, refused(refusal, refusal));
-        }
+        let mut start = match self.enter().await {
+            Ok(start) => start,
+            Err(failure) => return self.give_up(None, failure),
+        };
         let mut last: Option<Bad> = None;
         let mut not_sent = 0;
         loop {
-            let choice = match self.choose(None) {
-                Ok(choice) => choice,
+            let next = match start.take() {
+                Some((choice, turn)) => self.check().map(|()| (choice, Some(turn))),
+                None => self.choose(None).map(|choice| (choice, None)),
+            };
+            let (choice, turn) = match next {
+                Ok(next) => next,
                 Err(failure) => return self.give_up(last, failure),
             };
             if self.sent > 0 && !self.site.may_retry(&self.service) {
                 let failure = refused("the retry budget is used up", placement::Error::Busy);
                 return self.give_up(last, failure);
             }
-            match self.attempt(&choice).await {
+            match self.attempt(&choice, turn).await {
                 Ok(begun) => return self.answer(begun, choice),
                 Err(Tried::NotSent(reason)) => {
                     not_sent += 1;
@@ -327,43 +340,97 @@
             && !witness.is_suspected(&self.service, parts, self.site.now())
     }
 
-    /// Waits for leave to run, where engines answer.
-    async fn enter(&mut self) -> Result<(), placement::Error> {
+    /// Waits for a permit to run, where engines answer. Returns the engine that the request is sent
+    /// to first, if it is already chosen.
+    async fn enter(&mut self) -> Result<Option<(Choice, Turn)>, Failure> {
         let site = self.site.clone();
         let is_engine = |feed: &Feed| {
             let service = feed.view.services.get(&self.service);
             service.is_some_and(|service| service.engine.is_some())
         };
-        if !is_engine(&site.feed()) {
-            return Ok(());
+        let feed = site.feed();
+        match () {
+            () if !is_engine(&feed) => Ok(None),
+            () if site.gate.is_shared(&feed.view, &self.service) => self.enter_shared(&site).await,
+            () => self.enter_limited(&site).await.map(|()| None),
         }
+    }
+
+    /// Waits until an engine accepts the request, by its priority.
+    async fn enter_shared(&mut self, site: &Rc<Site>) -> Result<Option<(Choice, Turn)>, Failure> {
+        let ask = &self.outgoing.ask;
+        self.trace.priority = Some(self.priority);
+        let request = shared::Request {
+            service: self.service.clone(),
+            regions: [self.route.regions.clone(), self.caller_regions.clone()],
+            priority: self.priority,
+            customer: self.outgoing.customer.clone(),
+            timeliness: self.timeliness,
+            target: Duration::from_millis(self.route.target_ms.into()),
+            left: self.outgoing.deadline.since(site.now()),
+            ask: ask.clone(),
+        };
+        let start = shared::enter(site, request).await;
+        let start = start.map_err(|refusal| Failure::Refused {
+            reason: refusal.to_string(),
+            retry: refusal.retry,
+        })?;
+        self.rank = Some(start.rank);
+        self.outgoing.urgency = Some(shared::urgency(start.rank));
+        self.permit = Some(start.permit);
+        Ok(Some((start.choice, start.turn)))
+    }
+
+    /// Waits until fewer requests run than the entry's limit.
+    async fn enter_limited(&mut self, site: &Rc<Site>) -> Result<(), Failure> {
         let slots = || {
             let feed = site.feed();
             let now = site.now();
-            site.place(|placer| placer.slots(&feed.view, &self.need(None), now))
+            site.place(|placer| placer.slots(&feed.view, &self.need(None, None), now))
         };
         let target = Duration::from_millis(self.route.target_ms.into());
-        let pass = gate::enter(&site, &self.service, target, self.chance, slots).await?;
-        self.pass = Some(pass);
+        let permit = gate::enter(site, &self.service, target, self.timeliness, slots).await;
+        self.permit = Some(permit.map_err(|refusal| refused(refusal, refusal))?);
         Ok(())
     }
 
-    fn need(&self, pinned: Option<u64>) -> Requirements<'_> {
+    fn need(&self, pinned: Option<u64>, rank: Option<u32>) -> Requirements<'_> {
         Requirements {
             service: &self.service,
             model: self.outgoing.ask.model.as_ref(),
             pinned,
             regions: [&self.route.regions, &self.caller_regions],
             tried: &self.tried,
-            rank: None,
+            rank,
         }
     }
 
     /// Chooses an instance that was not tried, by the state as it is now.
     pub(crate) fn choose(&self, pinned: Option<u64>) -> Result<Choice, Failure> {
+        self.choose_by(pinned, self.rank)
+    }
+
+    /// Chooses an instance that goes on with an answer. It has the rank of the most urgent requests,
+    /// so that an answer that has begun isn't cut off in favour of one that hasn't.
+    pub(crate) fn choose_next(&self, pinned: Option<u64>) -> Result<Choice, Failure> {
+        self.choose_by(pinned, self.rank.map(|_| 0))
+    }
+
+    fn choose_by(&self, pinned: Option<u64>, rank: Option<u32>) -> Result<Choice, Failure> {
+        self.check()?;
         let now = self.site.now();
         let feed = self.site.feed();
-        if !feed.is_fresh(now, self.site.bounds.max_age) {
+        let need = self.need(pinned, rank);
+        let chosen = self
+            .site
+            .place(|placer| placer.choose(&feed.view, &need, now));
+        chosen.map_err(|refusal| refused(refusal, refusal))
+    }
+
+    /// Checks that the request may still be sent.
+    fn check(&self) -> Result<(), Failure> {
+        let now = self.site.now();
+        if !self.site.feed().is_fresh(now, self.site.bounds.max_age) {
             return Err(Failure::Stale);
         }
         if self.outgoing.deadline.since(now) < MIN_LEFT {
@@ -371,32 +438,25 @@
         }
         // A part of the prompt may have come into quarantine while the request waited.
         match self.judge() {
-            Verdict::Free => {}
-            _ if self.is_probe => {}
-            Verdict::Refused(left) => return Err(quarantined(left)),
-            Verdict::Due { .. } => {
-                return Err(quarantined(placement::Error::NoInstance.retry_after()));
-            }
+            Verdict::Free => Ok(()),
+            _ if self.is_probe => Ok(()),
+            Verdict::Refused(left) => Err(quarantined(left)),
+            Verdict::Due { .. } => Err(quarantined(placement::Error::NoInstance.retry_after())),
         }
-        let need = self.need(pinned);
-        let chosen = self
-            .site
-            .place(|placer| placer.choose(&feed.view, &need, now));
-        chosen.map_err(|refusal| refused(refusal, refusal))
     }
 
-    async fn attempt(&mut self, choice: &Choice) -> Result<Begun, Tried> {
+    async fn attempt(&mut self, choice: &Choice, turn: Option<Turn>) -> Result<Begun, Tried> {
         let site = self.site.clone();
-        let feed = site.feed();
-        let turn = site.begin(&feed.view, choice, &self.outgoing.ask);
+        let ask = &self.outgoing.ask;
+        let turn = turn.unwrap_or_else(|| site.begin(&site.feed().view, choice, ask));
         self.tried.push(choice.instance.id.clone());
         let sent_at = site.now();
         let is_cold = site.place(|placer| placer.is_cold(&choice.instance, sent_at));
         let begun = {
             let begin = begin(&site, &self.outgoing, choice, turn, None);
             tokio::pin!(begin);
-            let patience = attempt::patience(self.route.target_ms);
-            match time::timeout(patience, &mut begin).await {
+            let timeout = attempt::silence_timeout(self.route.target_ms);
+            match time::timeout(timeout, &mut begin).await {
                 Ok(begun) => begun,
                 // Another instance may do better; if there is none, this one goes on.
                 Err(_) if self.may_turn_away() => {
@@ -405,8 +465,8 @@
                 Err(_) => begin.await,
             }
         };
-        if let (Ok(_), Some(pass)) = (&begun, &self.pass) {
-            pass.begin(site.now().since(sent_at), is_cold);
+        if let (Ok(_), Some(permit)) = (&begun, &self.permit) {
+            permit.begin(site.now().since(sent_at), is_cold);
         }
         self.note(choice, &begun);
         begun
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -1,18 +1,24 @@
-//! The wait for leave to run, which [`Limiter`] gives.
+//! Admission of requests for engines.
+//!
+//! For services that share by priority, see [`shared`]. For all others, [`Limiter`] decides how many
+//! requests run, and a few more wait.
+
+pub mod shared;
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use domain::{clock::Instant, name};
+use domain::{clock::Instant, load::Demand, name};
 use policy::{
     admission::{Limiter, Sample, Timeliness},
     placement,
+    view::View,
 };
 use tokio::{sync::Notify, time};
 
 use crate::site::Site;
 
-/// The part of the time that is aimed at which a request may wait for its turn, in hundredths. It
-/// still begins in time if it is sent after that.
+/// The percentage of the latency target that a request may wait for admission. It still begins in
+/// time if it is sent after that.
 const WAIT_PERCENT: u32 = 45;
 /// How many requests wait, as a part of those that run, in hundredths: more would wait in vain.
 const QUEUE_PERCENT: u32 = 20;
@@ -27,9 +33,20 @@
 #[derive(Default)]
 pub struct Gate {
     lanes: RefCell<HashMap<name::Service, Lane>>,
+    shared: shared::Lanes,
 }
 
 impl Gate {
+    /// Whether a service shares by priority. See [`policy::load::is_shared`].
+    pub fn is_shared(&self, view: &View, service: &name::Service) -> bool {
+        self.shared.is_shared(view, service)
+    }
+
+    /// The demand of this entry's callers for the services that share by priority.
+    pub fn demand(&self, now: Instant) -> Vec<Demand> {
+        self.shared.demand(now)
+    }
+
     fn with<T>(
         &self,
         service: &name::Service,
@@ -46,16 +63,18 @@
     }
 }
 
-/// Leave to run, until it is dropped.
-pub struct Pass {
+/// The permit to run, until it is dropped.
+pub struct Permit {
     site: Rc<Site>,
     service: name::Service,
     target: Duration,
+    /// Whether the service shares by priority.
+    is_shared: bool,
 }
 
-/// Waits for leave to run, at most a part of the time that is aimed at; a request that is late
-/// already does not wait. `slots` tells the entry's part of the slots, or why no instance may serve
-/// the request.
+/// Waits for a permit to run, at most a part of the latency target; a request that is late already
+/// does not wait. `slots` tells the entry's part of the slots, or why no instance may serve the
+/// request.
 ///
 /// # Errors
 ///
@@ -65,14 +84,15 @@
     site: &Rc<Site>,
     service: &name::Service,
     target: Duration,
-    chance: Timeliness,
+    timeliness: Timeliness,
     slots: impl Fn() -> Result<f64, placement::Error>,
-) -> Result<Pass, placement::Error> {
+) -> Result<Permit, placement::Error> {
     let begun = site.now();
-    let pass = || Pass {
+    let permit = || Permit {
         site: site.clone(),
         service: service.clone(),
         target,
+        is_shared: false,
     };
     let limit = target * WAIT_PERCENT / 100;
     let mut queued: Option<Queued<'_>> = None;
@@ -81,13 +101,13 @@
         let slots = slots()?;
         let is_turn = site.gate.with(service, now, |lane| {
             // Nobody overtakes those who wait.
-            (lane.waiting == 0 || queued.is_some()) && lane.admission.admit(slots, chance, now)
+            (lane.waiting == 0 || queued.is_some()) && lane.admission.admit(slots, timeliness, now)
         });
         if is_turn {
-            return Ok(pass());
+            return Ok(permit());
         }
         let left = limit.saturating_sub(now.since(begun));
-        if left.is_zero() || chance == Timeliness::Late {
+        if left.is_zero() || timeliness == Timeliness::Late {
             return Err(placement::Error::Busy);
         }
         if queued.is_none() {
@@ -126,9 +146,12 @@
     }
 }
 
-impl Pass {
+impl Permit {
     /// The answer began so long after the request was sent to an instance that was cold or not.
     pub fn begin(&self, waited: Duration, is_cold: bool) {
+        if self.is_shared {
+            return;
+        }
         let now = self.site.now();
         let beginning = Sample {
             waited,
@@ -141,8 +164,11 @@
     }
 }
 
-impl Drop for Pass {
+impl Drop for Permit {
     fn drop(&mut self) {
+        if self.is_shared {
+            return self.site.gate.shared.release(&self.service);
+        }
         let now = self.site.now();
         let freed = self.site.gate.with(&self.service, now, |lane| {
             lane.admission.release();
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
-use domain::{clock::Instant, name};
+use domain::{clock::Instant, load::Priority, name};
 use slog::{Logger, info, warn};
 use telemetry::budget::{Budget, Class, Rate};
 
@@ -67,6 +67,8 @@
     pub route: Option<name::Route>,
     /// Whose key it carried.
     pub customer: Option<name::Customer>,
+    /// Its priority, where the service is shared by priority.
+    pub priority: Option<Priority>,
     /// The routing version and the age of the state by which it was decided, in milliseconds.
     pub basis: Option<(u64, u64)>,
     /// How long the caller had waited already when it asked: after a refusal it comes back.
@@ -90,6 +92,7 @@
             id,
             route: None,
             customer: None,
+            priority: None,
             basis: None,
             waited: Duration::ZERO,
             parts: Arc::default(),
@@ -124,6 +127,7 @@
             "id" => self.id.as_deref().map(str::to_owned),
             "route" => self.route.as_ref().map(ToString::to_string),
             "customer" => self.customer.as_ref().map(ToString::to_string),
+            "priority" => self.priority.map(|priority| priority.to_string()),
             "routing" => routing, "age_ms" => age_ms,
             "waited_ms" => self.waited.as_millis() as u64,
             "parts" => join(&self.parts),
--- a/crates/relay/src/meters.rs
+++ b/crates/relay/src/meters.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use domain::name;
+use domain::{load::Priority, name};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram, Meter},
@@ -17,6 +17,11 @@
     attempts: Counter<u64>,
     notices: Counter<u64>,
     crashes: Counter<u64>,
+    admitted: Counter<u64>,
+    refused: Counter<u64>,
+    waiting: Gauge<u64>,
+    fraction: Gauge<f64>,
+    correction: Gauge<f64>,
     running: Gauge<u64>,
     age_seconds: Gauge<f64>,
     routes: Labels,
@@ -58,6 +63,26 @@
                 .u64_counter("gypsum_relay_crashes")
                 .with_description("Instances that crashed under requests of this entry, by service")
                 .build(),
+            admitted: meter
+                .u64_counter("gypsum_relay_admitted")
+                .with_description("Requests sent to shared services, by service and priority")
+                .build(),
+            refused: meter
+                .u64_counter("gypsum_relay_refused")
+                .with_description("Requests refused by admission, by service, priority and reason")
+                .build(),
+            waiting: meter
+                .u64_gauge("gypsum_relay_waiting")
+                .with_description("Requests that wait for an engine, by service and priority")
+                .build(),
+            fraction: meter
+                .f64_gauge("gypsum_relay_admitted_fraction")
+                .with_description("The fraction of work that is admitted, by service and priority")
+                .build(),
+            correction: meter
+                .f64_gauge("gypsum_relay_capacity_correction")
+                .with_description("The factor by which the described capacity is corrected")
+                .build(),
             running: meter
                 .u64_gauge("gypsum_relay_running")
                 .with_description("Requests that are running")
@@ -112,6 +137,37 @@
         self.crashes.add(1, &[service]);
     }
 
+    /// Counts a request that admission by priority lets run.
+    pub fn admitted(&self, service: &name::Service, priority: Priority) {
+        self.admitted.add(1, &by_priority(service, priority));
+    }
+
+    /// Counts a request that admission by priority refuses.
+    pub fn refused(&self, service: &name::Service, priority: Priority, reason: &'static str) {
+        let [service, priority] = by_priority(service, priority);
+        self.refused
+            .add(1, &[service, priority, KeyValue::new("reason", reason)]);
+    }
+
+    /// Shows the admission of a priority.
+    pub fn show_priority(
+        &self,
+        service: &name::Service,
+        priority: Priority,
+        fraction: f64,
+        waiting: usize,
+    ) {
+        let labels = by_priority(service, priority);
+        self.fraction.record(fraction, &labels);
+        self.waiting.record(waiting as u64, &labels);
+    }
+
+    /// Shows the correction of a service's capacity.
+    pub fn show_correction(&self, service: &name::Service, factor: f64) {
+        let service = KeyValue::new("service", service.to_string());
+        self.correction.record(factor, &[service]);
+    }
+
     /// Shows how the relay stands.
     pub fn show(&self, running: u32, age: Option<Duration>) {
         self.running.record(running.into(), &[]);
@@ -119,3 +175,10 @@
             .record(age.map_or(-1.0, |age| age.as_secs_f64()), &[]);
     }
 }
+
+fn by_priority(service: &name::Service, priority: Priority) -> [KeyValue; 2] {
+    [
+        KeyValue::new("service", service.to_string()),
+        KeyValue::new("priority", priority.to_string()),
+    ]
+}
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -31,7 +31,7 @@
 
 use crate::{
     dialect::{Ask, Dialect},
-    gate::Gate,
+    gate::{self, Gate},
     journal::Journal,
     meters::Meters,
     pool::{Connection, Pool},
@@ -99,7 +99,7 @@
     pub meters: Meters,
     /// The bounds.
     pub bounds: Bounds,
-    /// Leave to run, by service.
+    /// The admission of requests, by service.
     pub gate: Gate,
     /// How much of unfinished answers is kept.
     pub(crate) kept: Kept,
@@ -354,6 +354,7 @@
             self.witness.sweep(now);
             self.pool
                 .sweep(now, |id| feed.view.instances.contains_key(id));
+            gate::shared::refresh(&self);
             self.meters.show(self.running(), feed.bound.age(now));
         }
     }
@@ -431,5 +432,6 @@
             placer.end(id);
             placer.release(id);
         });
+        gate::shared::advance(&self.site, &self.instance.service);
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -279,7 +279,7 @@
 
     /// An instance with the version with which the answer began.
     fn next_choice(&self) -> Result<Choice, String> {
-        let choice = self.call.choose(self.version);
+        let choice = self.call.choose_next(self.version);
         choice.map_err(|failure| failure.to_string())
     }
 
--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -6,7 +6,10 @@
     future::Future,
     net::SocketAddr,
     rc::Rc,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -74,6 +77,7 @@
                 .map(|parts| parts.split(',').map(name::Part::from).collect())
                 .unwrap_or_default(),
             last_event: text("last").and_then(|last| last.parse().ok()),
+            prompt_tokens: text("prompt").and_then(|n| n.parse().ok()).unwrap_or(0),
             ..Ask::default()
         }
     }
@@ -82,6 +86,9 @@
         if let Some(last) = order.last_event {
             headers.insert("last", HeaderValue::from(last));
         }
+        if let Some(urgency) = order.urgency {
+            headers.insert("urgency", HeaderValue::from(u16::from(urgency)));
+        }
     }
 
     fn reply(&self, head: &response::Parts) -> Reply {
@@ -172,13 +179,33 @@
     }
 }
 
+/// Time that passes only when a test says so, and doesn't depend on the load of the machine.
+pub(crate) struct Manual(AtomicU64);
+
+impl Manual {
+    pub(crate) fn advance(&self, span: Duration) {
+        let nanos = u64::try_from(span.as_nanos()).unwrap();
+        self.0.fetch_add(nanos, Ordering::Relaxed);
+    }
+}
+
+impl Clock for Manual {
+    fn now(&self) -> Instant {
+        Instant::from_millis(60_000) + Duration::from_nanos(self.0.load(Ordering::Relaxed))
+    }
+
+    fn wall_ms(&self) -> u64 {
+        0
+    }
+}
+
 /// Control as relays see it: a state that only the quarantine changes.
 pub(crate) struct Control {
     view: RefCell<Arc<View>>,
     bound: Cell<Bound>,
     changes: watch::Sender<u64>,
     table: RefCell<Table>,
-    clock: Steady,
+    clock: Arc<dyn Clock>,
 }
 
 impl State for Control {
@@ -233,6 +260,10 @@
 }
 
 fn route(prefix: &str, kind: Kind) -> Record {
+    prioritized(prefix, kind, 0)
+}
+
+fn prioritized(prefix: &str, kind: Kind, priority: u8) -> Record {
     Record::Route(Route {
         name: prefix.into(),
         host: "h".into(),
@@ -241,7 +272,7 @@
         timeout_ms: 3_000,
         target_ms: 400,
         pause_ms: None,
-        priority: 0,
+        priority,
         attempts: 2,
         is_public: true,
         shares: vec![Share {
@@ -294,7 +325,37 @@
 
 /// A control that knows these instances.
 pub(crate) fn control(upstreams: &[SocketAddr]) -> Rc<Control> {
-    let records = [
+    let routes = vec![
+        route("/again/", Kind::Idempotent),
+        route("/once/", Kind::Once),
+        route("/stream/", Kind::Stream { is_resumable: true }),
+    ];
+    let instances = upstreams.iter().enumerate();
+    let instances = instances.map(|(n, address)| instance(n, *address));
+    let clock = Arc::new(Steady(std::time::Instant::now()));
+    control_of(routes.into_iter().chain(instances).collect(), clock)
+}
+
+/// A control whose routes differ in priority, and whose instances serve a model of their own each:
+/// `m-0`, `m-1` and so on.
+pub(crate) fn shared_control(upstreams: &[SocketAddr]) -> (Rc<Control>, Arc<Manual>) {
+    let kind = Kind::Stream { is_resumable: true };
+    let routes = (0..3).map(|n| prioritized(&format!("/{n}/"), kind, n));
+    let instances = upstreams.iter().enumerate();
+    let instances = instances.map(|(n, address)| match instance(n, *address) {
+        Record::Instance(mut instance) => {
+            instance.layers[0].model = format!("m-{n}").as_str().into();
+            Record::Instance(instance)
+        }
+        other => other,
+    });
+    let clock = Arc::new(Manual(AtomicU64::new(0)));
+    let records = routes.chain(instances).collect();
+    (control_of(records, clock.clone()), clock)
+}
+
+fn control_of(records: Vec<Record>, clock: Arc<dyn Clock>) -> Rc<Control> {
+    let head = [
         Record::Routing(Routing {
             version: 1,
             limits: Limits::default(),
@@ -307,16 +368,10 @@
             engine: Some(engine()),
             origin: None,
         })),
-        route("/again/", Kind::Idempotent),
-        route("/once/", Kind::Once),
-        route("/stream/", Kind::Stream { is_resumable: true }),
     ];
-    let instances = upstreams.iter().enumerate();
-    let instances = instances.map(|(n, address)| instance(n, *address));
-    let records = records.into_iter().chain(instances).map(Delta::Set);
+    let records = head.into_iter().chain(records).map(Delta::Set);
     let mut view = View::default();
     view.apply(batch(true, 1, records.collect())).unwrap();
-    let clock = Steady(std::time::Instant::now());
     Rc::new(Control {
         view: RefCell::new(Arc::new(view)),
         bound: Cell::new(Bound::new(clock.now(), Duration::ZERO)),
@@ -350,7 +405,7 @@
         leave: impl Future<Output = ()> + 'static,
         limit: Duration,
     ) -> Self {
-        let clock: Arc<dyn Clock> = Arc::new(control.clock);
+        let clock = control.clock.clone();
         let grace = Grace {
             seen: Duration::from_secs(8),
             unseen: Duration::from_secs(1),
--- a/crates/relay/tests/whole/gate.rs
+++ b/crates/relay/tests/whole/gate.rs
@@ -1,4 +1,4 @@
-//! Leave to run: who waits, and who is refused at once.
+//! Admission by a limit: who waits, and who is refused at once.
 
 use std::time::Duration;
 
@@ -22,13 +22,13 @@
             })
             .await
         };
-        let mut passes = Vec::new();
+        let mut permits = Vec::new();
         for _ in 0..8 {
-            passes.push(enter().await.ok().unwrap());
+            permits.push(enter().await.ok().unwrap());
         }
         // Adjustments come with time; each falls below what runs.
-        while let Ok(pass) = enter().await {
-            (0..ANSWERS).for_each(|_| pass.begin(TARGET * 4, false));
+        while let Ok(permit) = enter().await {
+            (0..ANSWERS).for_each(|_| permit.begin(TARGET * 4, false));
             tokio::time::sleep(Duration::from_millis(260)).await;
         }
         let waiting = futures::future::join_all((0..12).map(|_| enter()));
@@ -38,7 +38,7 @@
                 .iter()
                 .all(|entered| matches!(entered, Err(placement::Error::Busy)))
         );
-        drop(passes);
+        drop(permits);
         assert!(enter().await.is_ok(), "there is room again");
     });
 }
--- a/crates/relay/tests/whole/main.rs
+++ b/crates/relay/tests/whole/main.rs
@@ -10,4 +10,5 @@
 mod gate;
 mod heads;
 mod notices;
+mod shared;
 mod stale;
