--- a/crates/relay/src/gate/shared.rs
+++ b/crates/relay/src/gate/shared.rs
@@ -5,69 +5,40 @@
 //! [`Queue`] until an engine accepts one of their rank. See `docs/LOAD.md`, "Admission by priority",
 //! and `docs/design/admission.md`.
 
-use std::{
-    cell::RefCell,
-    collections::{BTreeMap, BTreeSet, HashMap},
-    ops::Range,
-    rc::Rc,
-    time::Duration,
-};
+mod demand;
+mod lane;
+pub mod retry;
+
+use std::{rc::Rc, time::Duration};
 
 use derive_more::Display;
-use domain::{
-    clock::Instant,
-    load::{Demand, Priority},
-    name,
-    routing::Engine,
-};
+use domain::{load::Priority, name, routing::Engine};
 use policy::{
     admission::Timeliness,
-    level::{self, Admitter, Correction, Load, Rates},
-    load,
     placement::{self, Choice, Requirements},
-    queue::{Bounds, Place, Queue},
+    queue::{Bounds, Full, Place},
     view::View,
-    work::{self, Size},
+    work::Size,
 };
-use rand::{SeedableRng, rngs::StdRng};
-use slog::info;
-use telemetry::budget::{Budget, Class, Rate};
 use tokio::{sync::oneshot, time};
 
+pub(crate) use self::demand::refresh;
+pub use self::lane::Lanes;
+use self::{
+    demand::compute,
+    lane::{Lane, Waiter},
+};
 use super::{Permit, WAIT_PERCENT};
 use crate::{
     dialect::Ask,
     site::{Site, Turn},
 };
 
-/// How often the fractions are computed at most. Reports of other entries come less often.
-const COMPUTE_PERIOD: Duration = Duration::from_millis(100);
 /// How often engines are looked for. Other entries' requests end without an event here. It is a
 /// tenth of the time that a request may wait at a usual latency target.
 const POLL_PERIOD: Duration = Duration::from_millis(20);
-/// The waiting requests of one priority, as a percentage of the running ones: about the part of
-/// them that ends while a request may wait.
-const QUEUE_PERCENT: usize = 20;
-/// The waiting requests of one priority, if few requests run.
-const MIN_QUEUE: usize = 2;
-/// The waiting requests of all priorities, as a multiple of those of one.
-const QUEUE_FACTOR: usize = 2;
-/// The work at which a priority is in use, in engine milliseconds per second. Averages of a
-/// priority that is no longer used decay below it within ten seconds.
-const MIN_RATE: f64 = 1.0;
-/// The longest delay after which a caller comes back: a third of the six seconds that callers wait.
-const MAX_RETRY: Duration = Duration::from_secs(2);
-/// The part of the time left that a caller waits at most before it comes back.
-const RETRY_PART: u32 = 3;
-/// The part of the delay by which callers are spread.
-const RETRY_SPREAD: f64 = 0.5;
 /// The largest urgency value that engines know.
 const MAX_URGENCY: u8 = 9;
-/// Log lines about priorities that begin or end to be shed.
-const SHED_LINES: Rate = Rate {
-    per_s: 1,
-    burst: 12,
-};
 
 /// The urgency that is sent to engines for a rank.
 pub fn urgency(rank: u32) -> u8 {
@@ -186,149 +157,6 @@
     pub retry: Duration,
 }
 
-/// A request in the queue.
-struct Waiter {
-    request: Rc<Request>,
-    rank: u32,
-    reply: oneshot::Sender<Result<Start, Reason>>,
-}
-
-/// The requests for one service.
-struct Lane {
-    admitter: Admitter,
-    correction: Correction,
-    /// The work that the callers of all entries ask for.
-    demand: Rates,
-    computed_at: Option<Instant>,
-    queue: Queue,
-    waiters: BTreeMap<Place, Waiter>,
-    /// When engines were last looked for.
-    polled_at: Instant,
-    running: usize,
-    /// The priorities that are admitted only in part.
-    shed: BTreeSet<Priority>,
-}
-
-impl Lane {
-    fn new(now: Instant) -> Self {
-        Self {
-            // Entries draw their first decisions independently of each other.
-            admitter: Admitter::new(StdRng::seed_from_u64(rand::random())),
-            correction: Correction::new(now),
-            demand: Rates::new(),
-            computed_at: None,
-            queue: Queue::new(),
-            waiters: BTreeMap::new(),
-            polled_at: now,
-            running: 0,
-            shed: BTreeSet::new(),
-        }
-    }
-
-    /// The number of more urgent priorities in use.
-    fn rank(&self, request: &Request) -> u32 {
-        if request.is_resumed() {
-            return 0;
-        }
-        let more_urgent = self.demand.range(..request.priority);
-        let in_use = more_urgent.filter(|(_, work)| **work >= MIN_RATE);
-        u32::try_from(in_use.count()).unwrap_or(u32::MAX)
-    }
-
-    fn bounds(&self) -> Bounds {
-        let each = (self.running * QUEUE_PERCENT / 100).max(MIN_QUEUE);
-        Bounds {
-            each,
-            total: each * QUEUE_FACTOR,
-        }
-    }
-
-    fn take(&mut self, place: Place) -> Option<Waiter> {
-        self.queue.remove(place);
-        self.waiters.remove(&place)
-    }
-
-    /// What this entry's callers ask for.
-    fn own_demand(&self, service: &name::Service, now: Instant) -> Vec<Demand> {
-        let admitted = self.admitter.admitted(now);
-        let offered = self.admitter.offered(now).into_iter();
-        let demand = offered.map(|(priority, work)| Demand {
-            service: service.clone(),
-            priority,
-            offered_ms: work.round() as u32,
-            admitted_ms: admitted
-                .get(&priority)
-                .map_or(0, |work| work.round() as u32),
-            waiting: u32::try_from(self.queue.waiting(priority)).unwrap_or(u32::MAX),
-        });
-        let is_in_use = |demand: &Demand| demand.offered_ms > 0 || demand.waiting > 0;
-        demand.filter(is_in_use).collect()
-    }
-}
-
-/// The requests for all services that share by priority.
-pub struct Lanes {
-    lanes: RefCell<HashMap<name::Service, Lane>>,
-    /// Whether a service shares by priority, with the state by which that was decided.
-    shared: RefCell<HashMap<name::Service, (u64, bool)>>,
-    lines: RefCell<Budget>,
-}
-
-impl Default for Lanes {
-    fn default() -> Self {
-        Self {
-            lanes: RefCell::default(),
-            shared: RefCell::default(),
-            lines: RefCell::new(Budget::new(SHED_LINES, SHED_LINES)),
-        }
-    }
-}
-
-impl Lanes {
-    /// Whether a service shares by priority. The answer is kept while the state stays the same,
-    /// because it takes a look at all routes.
-    pub(super) fn is_shared(&self, view: &View, service: &name::Service) -> bool {
-        let mut shared = self.shared.borrow_mut();
-        match shared.get(service) {
-            Some((commit, is_shared)) if *commit == view.commit => *is_shared,
-            _ => {
-                let is_shared = load::is_shared(view, service);
-                shared.insert(service.clone(), (view.commit, is_shared));
-                is_shared
-            }
-        }
-    }
-
-    pub(super) fn demand(&self, now: Instant) -> Vec<Demand> {
-        let lanes = self.lanes.borrow();
-        let demand = lanes.iter();
-        demand
-            .flat_map(|(service, lane)| lane.own_demand(service, now))
-            .collect()
-    }
-
-    pub(super) fn release(&self, service: &name::Service) {
-        self.with(service, |lane| {
-            lane.running = lane.running.saturating_sub(1)
-        });
-    }
-
-    fn with<T>(&self, service: &name::Service, work: impl FnOnce(&mut Lane) -> T) -> Option<T> {
-        self.lanes.borrow_mut().get_mut(service).map(work)
-    }
-
-    fn with_new<T>(
-        &self,
-        service: &name::Service,
-        now: Instant,
-        work: impl FnOnce(&mut Lane) -> T,
-    ) -> T {
-        let mut lanes = self.lanes.borrow_mut();
-        let lane = lanes.entry(service.clone());
-        work(lane.or_insert_with(|| Lane::new(now)))
-    }
-}
-
 /// Waits until an engine accepts the request, at most a part of the latency target.
 ///
 /// # Errors
@@ -344,7 +172,7 @@
     }
     entered.map_err(|reason| Refusal {
         reason,
-        retry: retry_after(site, &request, reason),
+        retry: retry::after(site, &request, reason),
     })
 }
 
@@ -435,7 +263,7 @@
         lane.waiters.insert(joined.place, waiter);
         Ok((joined.place, displaced))
     });
-    let (place, displaced) = joined.map_err(|policy::queue::Full| Reason::Full)?;
+    let (place, displaced) = joined.map_err(|Full| Reason::Full)?;
     if let Some(displaced) = displaced {
         answer(displaced, Err(Reason::Displaced));
     }
@@ -555,163 +383,3 @@
     let service = view.services.get(service)?;
     service.engine.as_ref()
 }
-
-/// Computes the fractions again for all services, so that they follow the demand also without
-/// requests, and forgets services that no longer share by priority.
-pub(crate) fn refresh(site: &Rc<Site>) {
-    let feed = site.feed();
-    let shared = &site.gate.shared;
-    let services: Vec<_> = shared.lanes.borrow().keys().cloned().collect();
-    for service in services {
-        let is_idle = |lane: &mut Lane| lane.queue.is_empty() && lane.running == 0;
-        match shared.is_shared(&feed.view, &service) {
-            true => compute(site, &service),
-            false if shared.with(&service, is_idle) == Some(true) => {
-                shared.lanes.borrow_mut().remove(&service);
-            }
-            false => {}
-        }
-    }
-    let exists = |service: &name::Service| feed.view.services.contains_key(service);
-    let mut known = shared.shared.borrow_mut();
-    known.retain(|service, _| exists(service));
-}
-
-/// Computes the fractions from the capacity of the engines and the demand of all entries.
-fn compute(site: &Rc<Site>, service: &name::Service) {
-    let now = site.now();
-    let shared = &site.gate.shared;
-    let is_due = shared.with_new(service, now, |lane| {
-        let is_due = |at: Instant| now.since(at) >= COMPUTE_PERIOD;
-        let is_due = lane.computed_at.is_none_or(is_due);
-        if is_due {
-            lane.computed_at = Some(now);
-        }
-        is_due
-    });
-    if !is_due {
-        return;
-    }
-    let feed = site.feed();
-    let requirements = Requirements {
-        service,
-        model: None,
-        pinned: None,
-        regions: [&[], &[]],
-        tried: &[],
-        rank: Some(0),
-    };
-    let (capacity, reported, factor) = site.place(|placer| {
-        let reports = placer.reports();
-        let factor = match reports.knows_demand(now) {
-            true => 1.0,
-            // Without reports, the callers of the other entries are taken to be like the own ones.
-            false => f64::from(placer.entries(now)),
-        };
-        let capacity = placer.capacity(&feed.view, &requirements, now);
-        (capacity, reports.demand(service, now), factor)
-    });
-    let slots = engine(&feed.view, service).map_or(1, |engine| engine.slots.max(1));
-    let all_slots = (capacity.engine_ms / 1_000.0 * f64::from(slots)).max(1.0);
-    shared.with(service, |lane| {
-        let own = lane.admitter.offered(now).into_iter();
-        let mut demand: Rates = own
-            .map(|(priority, work)| (priority, work * factor))
-            .collect();
-        let mut waiting = lane.queue.len() as f64 * factor;
-        for (priority, other) in reported {
-            *demand.entry(priority).or_default() += f64::from(other.offered_ms);
-            waiting += f64::from(other.waiting);
-        }
-        let load = Load {
-            occupancy: capacity.occupancy,
-            waiting: waiting / all_slots,
-        };
-        lane.correction
-            .observe(load, lane.admitter.is_shedding(), now);
-        let fractions = match capacity.engine_ms > 0.0 {
-            true => level::fractions(capacity.engine_ms * lane.correction.factor(), &demand),
-            // Placement says why no engine may serve a request.
-            false => BTreeMap::new(),
-        };
-        lane.demand = demand;
-        lane.admitter.set_fractions(fractions, now);
-    });
-    show(site, service);
-}
-
-/// Shows the state of a service in metrics, and logs which priorities begin or end to be shed.
-fn show(site: &Rc<Site>, service: &name::Service) {
-    let now = Duration::from_nanos(site.now().as_nanos());
-    let shared = &site.gate.shared;
-    let changes = shared.with(service, |lane| {
-        let factor = lane.correction.factor();
-        site.meters.show_correction(service, factor);
-        let mut changes = Vec::new();
-        let known: BTreeSet<_> = lane.demand.keys().chain(&lane.shed).copied().collect();
-        for priority in &known {
-            let fraction = lane.admitter.fraction(*priority);
-            let waiting = lane.queue.waiting(*priority);
-            site.meters
-                .show_priority(service, *priority, fraction, waiting);
-            let is_changed = match fraction < 1.0 {
-                true => lane.shed.insert(*priority),
-                false => lane.shed.remove(priority),
-            };
-            if is_changed {
-                changes.push((*priority, fraction, factor));
-            }
-        }
-        changes
-    });
-    for (priority, fraction, factor) in changes.into_iter().flatten() {
-        let Some(omitted) = shared.lines.borrow_mut().admit(Class::Routine, now) else {
-            continue;
-        };
-        let what = match fraction < 1.0 {
-            true => "begins to be shed",
-            false => "is admitted as a whole again",
-        };
-        info!(site.journal.logger(), "admission: a priority {}", what;
-            "service" => service.to_string(), "priority" => priority.to_string(),
-            "fraction" => format!("{fraction:.3}"), "correction" => format!("{factor:.2}"),
-            "omitted" => omitted);
-    }
-}
-
-/// When the caller of a refused request should come back.
-fn retry_after(site: &Rc<Site>, request: &Request, reason: Reason) -> Duration {
-    let feed = site.feed();
-    let (Reason::Shed | Reason::Full | Reason::Displaced | Reason::Expired, Some(engine)) =
-        (reason, engine(&feed.view, &request.service))
-    else {
-        let error = match reason {
-            Reason::Unserved(error) => error,
-            _ => placement::Error::NoInstance,
-        };
-        return error.retry_after();
-    };
-    let fraction = site
-        .gate
-        .shared
-        .with(&request.service, |lane| {
-            lane.admitter.fraction(request.priority)
-        })
-        .filter(|_| reason == Reason::Shed);
-    let answer = work::reading(engine, engine.usual_prompt) + Size::default().writing(engine);
-    let bounds = retry_bounds(answer, fraction.unwrap_or(1.0), request.left);
-    match bounds.is_empty() {
-        true => bounds.start,
-        false => rand::random_range(bounds),
-    }
-}
-
-/// The time within which callers come back: after at least the duration of a usual answer, when the
-/// running requests have ended, and up to twice that where little is admitted. Callers are spread
-/// also where the upper bounds apply, so that they don't come back together.
-pub fn retry_bounds(answer: Duration, fraction: f64, left: Duration) -> Range<Duration> {
-    let most = MAX_RETRY.min(left / RETRY_PART);
-    let least = answer.mul_f64(2.0 - fraction.clamp(0.0, 1.0));
-    let least = least.min(most.div_f64(1.0 + RETRY_SPREAD));
-    least..least.mul_f64(1.0 + RETRY_SPREAD).min(most)
-}
--- a/crates/relay/tests/whole/shared.rs
+++ b/crates/relay/tests/whole/shared.rs
@@ -366,7 +366,7 @@
     ];
     for (answer, fraction, left, least, most) in cases {
         let millis = Duration::from_millis;
-        let bounds = shared::retry_bounds(millis(answer), fraction, millis(left));
+        let bounds = shared::retry::bounds(millis(answer), fraction, millis(left));
         let got = (bounds.start.as_millis(), bounds.end.as_millis());
         let is_near = |got: u128, expected: u128| got.abs_diff(expected) <= 1;
         assert!(
