--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -32,7 +32,7 @@
 
 use crate::{
     dialect::{Ask, Dialect},
-    gate::Gate,
+    gate::{self, Gate},
     journal::Journal,
     meters::Meters,
     pool::{Connection, Pool},
@@ -100,7 +100,7 @@
     pub meters: Meters,
     /// The bounds.
     pub bounds: Bounds,
-    /// Leave to run, by service.
+    /// The admission of requests, by service.
     pub gate: Gate,
     /// How much of unfinished answers is kept.
     pub(crate) kept: Kept,
@@ -356,6 +356,7 @@
             self.witness.sweep(now);
             self.pool
                 .sweep(now, |id| feed.view.instances.contains_key(id));
+            gate::shared::refresh(&self);
             self.meters.show(self.running(), feed.bound.age(now));
         }
     }
@@ -433,6 +434,7 @@
             placer.end(id);
             placer.release(id);
         });
+        gate::shared::advance(&self.site, &self.instance.service);
     }
 }
 
@@ -446,6 +448,6 @@
 
     /// The demand of this entry's callers for services that are shared by priority.
     pub fn demand(&self) -> Vec<Demand> {
-        Vec::new()
+        self.gate.demand(self.now())
     }
 }
