Give late requests only slots that no timely request needs

Cause: refused callers come back late and weren't subject to the fraction.

Change: engines are looked for on behalf of a late request by the last rank, and late requests aren't counted as waiting, in reports and in the correction.

--- a/crates/policy/src/level.rs
+++ b/crates/policy/src/level.rs
@@ -129,7 +129,8 @@
 pub struct Load {
     /// The mean number of requests per slot at the engines.
     pub occupancy: f64,
-    /// Requests per slot that wait at all entries.
+    /// Requests per slot that wait at all entries and can be answered in time. Others wait for
+    /// slots that nobody needs, so they show no shortage.
     pub waiting: f64,
 }
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -27,6 +27,11 @@
         self.priority
     }
 
+    /// Whether the request can no longer be answered in time.
+    pub fn is_late(&self) -> bool {
+        self.is_late
+    }
+
     fn is_before(&self, priority: Priority, is_late: bool) -> bool {
         (self.priority, self.is_late) <= (priority, is_late)
     }
--- a/crates/relay/src/gate/shared.rs
+++ b/crates/relay/src/gate/shared.rs
@@ -37,6 +37,10 @@
 /// How often engines are looked for. Other entries' requests end without an event here. It is a
 /// tenth of the time that a request may wait at a usual latency target.
 const POLL_PERIOD: Duration = Duration::from_millis(20);
+/// The rank by which engines are looked for on behalf of late requests: below all others. A late
+/// answer is worth a fraction of a timely one, and refused callers come back in such numbers that
+/// at the rank of their priority they would fill the slots, so that most answers begin late.
+const LATE_RANK: u32 = 9;
 /// The largest urgency value that engines know.
 const MAX_URGENCY: u8 = 9;
 
@@ -320,6 +324,10 @@
     let feed = site.feed();
     let mut busy: Vec<(Rc<Request>, u32)> = Vec::new();
     for (place, request, rank) in waiting.into_iter().flatten() {
+        let rank = match place.is_late() {
+            true => rank.max(LATE_RANK),
+            false => rank,
+        };
         let is_busy =
             |(other, busy): &(Rc<Request>, u32)| *busy == rank && request.has_needs_of(other);
         if busy.iter().any(is_busy) {
--- a/crates/relay/src/gate/shared/demand.rs
+++ b/crates/relay/src/gate/shared/demand.rs
@@ -82,7 +82,7 @@
         let mut demand: Rates = own
             .map(|(priority, work)| (priority, work * factor))
             .collect();
-        let mut waiting = lane.queue.len() as f64 * factor;
+        let mut waiting = lane.all_waiting() as f64 * factor;
         for (priority, other) in reported {
             *demand.entry(priority).or_default() += f64::from(other.offered_ms);
             waiting += f64::from(other.waiting);
--- a/crates/relay/src/gate/shared/lane.rs
+++ b/crates/relay/src/gate/shared/lane.rs
@@ -101,6 +101,20 @@
         self.waiters.remove(&place)
     }
 
+    /// The waiting requests of a priority that can be answered in time. See
+    /// `policy::level::Load`.
+    fn waiting(&self, priority: Priority) -> usize {
+        let places = self.queue.places();
+        places
+            .filter(|place| place.priority() == priority && !place.is_late())
+            .count()
+    }
+
+    /// The waiting requests that can be answered in time.
+    pub(super) fn all_waiting(&self) -> usize {
+        self.queue.places().filter(|place| !place.is_late()).count()
+    }
+
     /// What this entry's callers ask for.
     fn own_demand(&self, service: &name::Service, now: Instant) -> Vec<Demand> {
         let admitted = self.admitter.admitted(now);
@@ -112,7 +126,7 @@
             admitted_ms: admitted
                 .get(&priority)
                 .map_or(0, |work| work.round() as u32),
-            waiting: u32::try_from(self.queue.waiting(priority)).unwrap_or(u32::MAX),
+            waiting: u32::try_from(self.waiting(priority)).unwrap_or(u32::MAX),
         });
         let is_in_use = |demand: &Demand| demand.offered_ms > 0 || demand.waiting > 0;
         demand.filter(is_in_use).collect()
