--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -51,9 +51,16 @@
 /// Score penalty of an engine that stops accepting requests before the response would end, as a
 /// fraction of its slots. Each such response delays the switch of the engine's version.
 const MOVE_PENALTY: f64 = 0.5;
-/// Range of the random number of requests that is added to the reported ones. Entries with the same
-/// reports would otherwise all choose the same engine.
-const TIE_SPREAD: f64 = 1.5;
+/// The rank by which engines are looked for on behalf of requests that can no longer be answered in
+/// time. A late answer is worth a fraction of a timely one, and refused callers come back in such
+/// numbers that at the rank of their priority they would fill the slots.
+pub const LATE_RANK: u32 = 9;
+/// The part of an engine's slots that late requests may fill, in percent. They use slots that timely
+/// requests don't need.
+const LATE_PERCENT: u32 = 75;
+/// Engines of which the better one is chosen. Reports are up to a tenth of a second old, and entries
+/// that all chose the least loaded engine would overload it until its next report.
+const CANDIDATES: usize = 2;
 /// Requests that an entry may have in flight at an instance beyond the instance's slots.
 const MAX_WAITING: u32 = 8;
 /// Retry delay when every instance is busy: about the duration of a typical answer, after which the
@@ -200,10 +207,11 @@
 
 /// The number of requests at an engine at which it gets no further one of the given rank.
 fn occupancy_limit(slots: u32, rank: u32) -> u32 {
-    slots.saturating_add(match rank {
-        0 => MAX_URGENT_BACKLOG,
-        _ => MAX_BACKLOG,
-    })
+    match rank {
+        0 => slots.saturating_add(MAX_URGENT_BACKLOG),
+        LATE_RANK.. => slots.saturating_mul(LATE_PERCENT) / 100,
+        _ => slots.saturating_add(MAX_BACKLOG),
+    }
 }
 
 /// Chooses instances for the requests of one entry.
@@ -376,7 +384,7 @@
             return Err(Error::NoInstance);
         };
         let mut error = Error::NoInstance;
-        let mut best: Option<(f64, Choice)> = None;
+        let mut candidates = Vec::new();
         for instance in view.instances.values() {
             if !is_wanted(&instance.zone) || self.is_suspected(instance, now) {
                 continue;
@@ -398,18 +406,31 @@
             let Some(score) = self.score(&service, instance, requirements, now) else {
                 continue;
             };
-            let score = score + penalty;
-            if best.as_ref().is_none_or(|(lowest, _)| score < *lowest) {
-                let instance = instance.clone();
-                best = Some((score, Choice { instance, version }));
-            }
+            let instance = instance.clone();
+            candidates.push((score + penalty, Choice { instance, version }));
+        }
+        if requirements.share.is_some() {
+            self.sample(&mut candidates);
         }
+        let best = candidates
+            .into_iter()
+            .min_by(|(a, _), (b, _)| a.total_cmp(b));
         match best {
             Some((_, choice)) => Ok(choice),
             None => Err(self.spread(error)),
         }
     }
 
+    /// Keeps a few random candidates.
+    fn sample<T>(&mut self, candidates: &mut Vec<T>) {
+        let kept = CANDIDATES.min(candidates.len());
+        for i in 0..kept {
+            let other = self.rng.random_range(i..candidates.len());
+            candidates.swap(i, other);
+        }
+        candidates.truncate(kept);
+    }
+
     /// Returns this entry's share of the slots of all eligible instances. Suspected instances and
     /// those that leave count with zero slots.
     ///
@@ -649,8 +670,7 @@
                     true => MOVE_PENALTY,
                     false => 0.0,
                 };
-                let spread = self.rng.random_range(0.0..TIE_SPREAD);
-                (f64::from(occupancy.requests) + spread) * pace / slots + penalty
+                f64::from(occupancy.requests) * pace / slots + penalty
             }
             (Some(_), None) => {
                 let running = f64::from(load.in_flight) * f64::from(entries) / slots;
@@ -745,7 +765,8 @@
     }
 
     /// The mean number of requests per slot at the engines that may serve the request, and their
-    /// capacity in engine milliseconds per second. Engines without a recent report count as full
+    /// capacity in engine milliseconds per second. Without a model, engines that may serve any of the
+    /// service's models count; those that are switching versions don't. Engines without a recent report count as full
     /// and of the described pace.
     pub fn capacity(&self, view: &View, requirements: &Requirements<'_>, now: Instant) -> Capacity {
         let mut capacity = Capacity::default();
@@ -754,9 +775,22 @@
         };
         let mut slots = 0.0;
         let mut requests = 0.0;
+        let models = service.engine.as_ref().map(|engine| &engine.models);
+        let any = models.into_iter().flatten().map(Some);
+        let models: Vec<_> = match requirements.model {
+            Some(model) => vec![Some(model)],
+            None => any.collect(),
+        };
         for instance in view.instances.values() {
-            let version = self.eligible_version(view, service, instance, requirements, now);
-            if version.is_none() || self.is_suspected(instance, now) {
+            let is_eligible = models.iter().any(|model| {
+                let requirements = Requirements {
+                    model: *model,
+                    ..*requirements
+                };
+                self.eligible_version(view, service, instance, &requirements, now)
+                    .is_some()
+            });
+            if !is_eligible || self.is_suspected(instance, now) {
                 continue;
             }
             let occupancy = self.reports.occupancy(instance.address, now);
--- a/crates/relay/src/gate/shared.rs
+++ b/crates/relay/src/gate/shared.rs
@@ -15,7 +15,7 @@
 use domain::{load::Priority, name, routing::Engine};
 use policy::{
     admission::Timeliness,
-    placement::{self, Choice, Requirements, Share},
+    placement::{self, Choice, LATE_RANK, Requirements, Share},
     queue::{Bounds, Full, Place},
     view::View,
     work::Size,
@@ -332,6 +332,10 @@
     let feed = site.feed();
     let mut busy: Vec<(Rc<Request>, u32)> = Vec::new();
     for (place, request, rank, zone) in waiting.into_iter().flatten() {
+        let rank = match place.is_late() {
+            true => LATE_RANK,
+            false => rank.min(LATE_RANK - 1),
+        };
         let is_busy =
             |(other, busy): &(Rc<Request>, u32)| *busy == rank && request.has_needs_of(other);
         if zone.is_none() && busy.iter().any(is_busy) {
--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -305,7 +305,7 @@
 
 fn engine() -> Engine {
     Engine {
-        models: vec!["m".into()],
+        models: ["m", "m-0", "m-1", "m-2"].map(name::Artifact::from).into(),
         slots: 2,
         stride: 1,
         step_us: 1,
@@ -333,7 +333,11 @@
     let instances = upstreams.iter().enumerate();
     let instances = instances.map(|(n, address)| instance(n, *address));
     let clock = Arc::new(Steady(std::time::Instant::now()));
-    control_of(routes.into_iter().chain(instances).collect(), clock)
+    control_of(
+        routes.into_iter().chain(instances).collect(),
+        Vec::new(),
+        clock,
+    )
 }
 
 /// A control whose routes differ in priority, and whose instances serve a model of their own each:
@@ -351,13 +355,17 @@
     });
     let clock = Arc::new(Manual(AtomicU64::new(0)));
     let records = routes.chain(instances).collect();
-    (control_of(records, clock.clone()), clock)
+    (control_of(records, vec!["s".into()], clock.clone()), clock)
 }
 
-fn control_of(records: Vec<Record>, clock: Arc<dyn Clock>) -> Rc<Control> {
+fn control_of(
+    records: Vec<Record>,
+    shared: Vec<name::Service>,
+    clock: Arc<dyn Clock>,
+) -> Rc<Control> {
     let head = [
         Record::Routing(Routing {
-            shared: Vec::new(),
+            shared,
             version: 1,
             limits: Limits::default(),
             has_callers: false,
