--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -20,6 +20,7 @@
     quarantine::{self, Write},
     record::{Batch, Cursor, Delta, Record, Routing},
     routing::{Engine, Kind, Limits, Route, Service, Share},
+    vm::{self, Announcement, Lifecycle, Status, Vm},
 };
 use futures::{
     FutureExt,
@@ -303,6 +304,26 @@
     }))
 }
 
+fn entry(n: u16) -> Record {
+    Record::Vm(Box::new(Vm {
+        announcement: Announcement {
+            vm: format!("entry-{n}").as_str().into(),
+            zone: "z".into(),
+            region: "r".into(),
+            incarnation: 1,
+            call_addr: ([127, 0, 0, 1], n + 1).into(),
+            chunk_addr: ([127, 0, 0, 1], n + 1).into(),
+            upstream: vm::Upstream::Entry,
+        },
+        status: Status {
+            lifecycle: Lifecycle::Warm,
+            holdings: Default::default(),
+            fence: Default::default(),
+            limit: 0,
+        },
+    }))
+}
+
 fn engine() -> Engine {
     Engine {
         models: vec!["m".into()],
@@ -337,8 +358,8 @@
 }
 
 /// A control whose routes differ in priority, and whose instances serve a model of their own each:
-/// `m-0`, `m-1` and so on.
-pub(crate) fn shared_control(upstreams: &[SocketAddr]) -> (Rc<Control>, Arc<Manual>) {
+/// `m-0`, `m-1` and so on. It knows so many entries.
+pub(crate) fn shared_control(upstreams: &[SocketAddr], entries: u16) -> (Rc<Control>, Arc<Manual>) {
     let kind = Kind::Stream { is_resumable: true };
     let routes = (0..3).map(|n| prioritized(&format!("/{n}/"), kind, n));
     let instances = upstreams.iter().enumerate();
@@ -350,7 +371,8 @@
         other => other,
     });
     let clock = Arc::new(Manual(AtomicU64::new(0)));
-    let records = routes.chain(instances).collect();
+    let entries = (0..entries).map(entry);
+    let records = routes.chain(instances).chain(entries).collect();
     (control_of(records, clock.clone()), clock)
 }
 
--- a/crates/relay/tests/whole/shared.rs
+++ b/crates/relay/tests/whole/shared.rs
@@ -40,7 +40,12 @@
 
 impl Bench {
     fn new(engines: &[SocketAddr]) -> Self {
-        let (control, clock) = shared_control(engines);
+        Self::among(engines, 1)
+    }
+
+    /// One of so many entries.
+    fn among(engines: &[SocketAddr], entries: u16) -> Self {
+        let (control, clock) = shared_control(engines, entries);
         let bench = Self {
             relay: Relay::join(control),
             clock,
@@ -364,6 +369,41 @@
     });
 }
 
+/// Guards against an entry that takes the demand of others for nothing while their reports are
+/// missing, and against one that still guesses it when reports come.
+#[test]
+fn without_reports_the_other_entries_are_taken_to_have_the_same_demand() {
+    run(async {
+        // Entries, whether another one reports no demand, whether work is shed. The own demand is
+        // half of the capacity.
+        let cases = [(1, false, false), (5, false, true), (5, true, false)];
+        for (entries, is_reported, expected) in cases {
+            let engine = SocketAddr::from(([127, 0, 0, 1], 1));
+            let bench = Bench::among(&[engine], entries);
+            settle().await;
+            // An entry that has just started doesn't know yet how many others there are.
+            bench.clock.advance(Duration::from_secs(5));
+            let mut refused = 0;
+            for _ in 0..50 {
+                bench.occupy(0, 0);
+                if is_reported {
+                    bench.report("entry-1", Content::Entry(Vec::new()));
+                }
+                let mut request = bench.request(1, Timeliness::OnTime);
+                request.ask.prompt_tokens = 50;
+                let entered = bench.enter(request).await;
+                refused += u32::from(reason(entered).await == Some(Reason::Shed));
+                bench.clock.advance(Duration::from_millis(100));
+            }
+            assert_eq!(refused > 5, expected, "{entries} {is_reported}: {refused}");
+            assert!(
+                expected || refused == 0,
+                "{entries} {is_reported}: {refused}"
+            );
+        }
+    });
+}
+
 /// Guards against callers that all come back together, before capacity is free, or after the time
 /// that they wait.
 #[test]
