--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -39,11 +39,10 @@
 const REMOTE_PENALTY: f64 = 0.3;
 /// Score penalty of a cold instance, as a fraction of its slots, because it answers slowly.
 const COLD_PENALTY: f64 = 0.5;
-/// Requests that an engine may hold beyond its slots when it gets another one. One that waits there
-/// starts as soon as a slot becomes free, and a longer queue only delays responses.
-const MAX_BACKLOG: u32 = 1;
-/// The same for the most urgent priority, which overtakes the other one in the engine's queue.
-const MAX_URGENT_BACKLOG: u32 = 2;
+/// Requests that an engine may hold beyond its slots when it gets another one of the most urgent
+/// priority, which overtakes others in the engine's queue. Each further priority may fill one less,
+/// down to the slots, so that a flood of less urgent requests leaves a place for an urgent one.
+const MAX_BACKLOG: u32 = 2;
 /// Milliseconds of a second.
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 /// Hundredths of one.
@@ -57,9 +56,10 @@
 pub const LATE_RANK: u32 = 9;
 /// The part of an engine's slots that late requests may fill, in percent. They use slots that timely
 /// requests don't need.
-const LATE_PERCENT: u32 = 75;
-/// Engines of which the better one is chosen. Reports are up to a tenth of a second old, and entries
-/// that all chose the least loaded engine would overload it until its next report.
+const LATE_PERCENT: u32 = 50;
+/// Random engines of which the better one is chosen. Reports are up to a tenth of a second old, and
+/// entries that all chose the least loaded of all engines would overload it until its next report.
+/// If both are full, the request waits: choosing among those with room would keep all engines full.
 const CANDIDATES: usize = 2;
 /// Requests that an entry may have in flight at an instance beyond the instance's slots.
 const MAX_WAITING: u32 = 8;
@@ -208,9 +208,8 @@
 /// The number of requests at an engine at which it gets no further one of the given rank.
 fn occupancy_limit(slots: u32, rank: u32) -> u32 {
     match rank {
-        0 => slots.saturating_add(MAX_URGENT_BACKLOG),
         LATE_RANK.. => slots.saturating_mul(LATE_PERCENT) / 100,
-        _ => slots.saturating_add(MAX_BACKLOG),
+        _ => slots.saturating_add(MAX_BACKLOG.saturating_sub(rank)),
     }
 }
 
@@ -403,18 +402,22 @@
                 Availability::Available => 0.0,
             };
             error = Error::Busy;
-            let Some(score) = self.score(&service, instance, requirements, now) else {
-                continue;
-            };
             let instance = instance.clone();
-            candidates.push((score + penalty, Choice { instance, version }));
+            candidates.push((penalty, Choice { instance, version }));
         }
         if requirements.share.is_some() {
             self.sample(&mut candidates);
         }
-        let best = candidates
-            .into_iter()
-            .min_by(|(a, _), (b, _)| a.total_cmp(b));
+        let mut best: Option<(f64, Choice)> = None;
+        for (penalty, choice) in candidates {
+            let Some(score) = self.score(&service, &choice.instance, requirements, now) else {
+                continue;
+            };
+            let score = score + penalty;
+            if best.as_ref().is_none_or(|(lowest, _)| score < *lowest) {
+                best = Some((score, choice));
+            }
+        }
         match best {
             Some((_, choice)) => Ok(choice),
             None => Err(self.spread(error)),
