--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -375,7 +375,8 @@
         other => other,
     });
     let clock = Arc::new(Manual(AtomicU64::new(0)));
-    let records = routes.chain(instances).collect();
+    let entries = (0..entries).map(entry);
+    let records = routes.chain(instances).chain(entries).collect();
     (control_of(records, vec!["s".into()], clock.clone()), clock)
 }
 
