Let work leave a zone only if its engines are full and the other zone sheds nothing

That zone refused half of its callers.

Change: a zone counts as short if its engines are full, or it sheds or lets requests wait; only such a zone sends work away, and no such zone gets any. Work that fits the capacity is admitted whole (rounding made it look shed). Engines without a report don't count for the occupancy, and engines may hold one to three requests beyond their slots by rank, which covers the age of reports.

--- a/crates/policy/src/level.rs
+++ b/crates/policy/src/level.rs
@@ -35,11 +35,11 @@
 /// Requests per slot below which engines have free slots.
 const MIN_OCCUPANCY: f64 = 0.95;
 /// Requests per slot that wait at the entries above which more is admitted than engines accept. At
-/// one answer per slot and second, each request then waits 40 ms on average, a fifth of what the
-/// usual latency target permits.
-const MAX_WAITING: f64 = 0.04;
+/// one answer per slot and second, each request then waits 15 ms on average, and one in twelve waits
+/// as long as the usual latency target permits.
+const MAX_WAITING: f64 = 0.015;
 /// Requests per slot that wait at the entries below which engines accept what is admitted at once.
-const MIN_WAITING: f64 = 0.01;
+const MIN_WAITING: f64 = 0.005;
 /// Factor by which the capacity falls in each period with a standing queue.
 const DECREASE: f64 = 0.95;
 /// Factor by which the capacity grows in each period with free slots.
@@ -56,10 +56,10 @@
 /// the priorities in order of urgency.
 pub fn fractions(capacity: f64, offered: &Rates) -> BTreeMap<Priority, f64> {
     let total: f64 = offered.values().sum();
-    let cut = match total > 0.0 {
-        true => (capacity.max(0.0) / total).min(1.0),
-        false => 1.0,
-    };
+    if total <= capacity {
+        return offered.keys().map(|priority| (*priority, 1.0)).collect();
+    }
+    let cut = capacity.max(0.0) / total;
     let floor = |(priority, work): (&Priority, &f64)| (*priority, work * cut * FLOOR);
     let mut admitted: Rates = offered.iter().map(floor).collect();
     let mut rest = capacity.max(0.0) - admitted.values().sum::<f64>();
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -16,7 +16,7 @@
 use domain::{
     clock::Instant,
     instance::{Instance, Phase},
-    load::{Demand, Priority, Report},
+    load::Report,
     name,
     routing::{Service, Warmup},
     vm::{Lifecycle, Upstream},
@@ -41,8 +41,16 @@
 const COLD_PENALTY: f64 = 0.5;
 /// Requests that an engine may hold beyond its slots when it gets another one of the most urgent
 /// priority, which overtakes others in the engine's queue. Each further priority may fill one less,
-/// down to the slots, so that a flood of less urgent requests leaves a place for an urgent one.
-const MAX_BACKLOG: u32 = 2;
+/// so that a flood of less urgent requests leaves places for urgent ones.
+const MAX_BACKLOG: u32 = 3;
+/// The same for the least urgent priority. An engine without any backlog stands still in part from
+/// the end of a request until the next report of its load.
+const MIN_BACKLOG: u32 = 1;
+/// Requests per slot at the engines of a zone from which on it is short of capacity.
+const FULL_OCCUPANCY: f64 = 0.95;
+/// The part of the offered work below which a zone sheds: averages of what is offered and what is
+/// admitted differ a little at all times.
+const ADMITTED_PART: f64 = 0.9;
 /// Milliseconds of a second.
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 /// Hundredths of one.
@@ -209,7 +217,7 @@
 fn occupancy_limit(slots: u32, rank: u32) -> u32 {
     match rank {
         LATE_RANK.. => slots.saturating_mul(LATE_PERCENT) / 100,
-        _ => slots.saturating_add(MAX_BACKLOG.saturating_sub(rank)),
+        _ => slots.saturating_add(MAX_BACKLOG.saturating_sub(rank).max(MIN_BACKLOG)),
     }
 }
 
@@ -738,6 +746,7 @@
         now: Instant,
     ) -> BTreeMap<name::AvailabilityZone, Zone> {
         let mut zones = BTreeMap::<name::AvailabilityZone, Zone>::new();
+        let (mut slots, mut requests) = (0, 0);
         for instance in view.instances.values() {
             let is_ready = instance.service == *service
                 && instance.phase == Phase::Ready
@@ -750,20 +759,31 @@
             let pace = occupancy.map_or(100, |occupancy| occupancy.pace_percent.max(1));
             let zone = zones.entry(instance.zone.clone()).or_default();
             zone.capacity += MILLIS_PER_SECOND * PERCENT / f64::from(pace);
+            if let Some(occupancy) = occupancy {
+                slots += instance.slots;
+                requests += occupancy.requests;
+            }
         }
-        zones.entry(self.zone.clone()).or_default();
-        let sum = |demand: BTreeMap<Priority, Demand>| {
-            let offered = demand.values().map(|part| f64::from(part.offered_ms));
-            offered.sum::<f64>()
-        };
+        let occupied = (slots > 0).then(|| f64::from(requests) / f64::from(slots));
+        let home = zones.entry(self.zone.clone()).or_default();
+        home.is_short = occupied.is_none_or(|occupancy| occupancy >= FULL_OCCUPANCY);
         zones.retain(|name, zone| {
             let demand = match *name == self.zone {
-                true => Some(own + sum(self.reports.demand_in_zone(service, now))),
-                false => self.reports.demand_of_zone(name, service, now).map(sum),
+                true => Some(self.reports.demand_in_zone(service, now)),
+                false => self.reports.demand_of_zone(name, service, now),
             };
-            zone.demand = demand.unwrap_or_default();
-            demand.is_some()
+            let is_known = demand.is_some();
+            for part in demand.unwrap_or_default().into_values() {
+                let (offered, admitted) = (f64::from(part.offered_ms), f64::from(part.admitted_ms));
+                zone.demand += offered;
+                let is_shed = admitted < offered * ADMITTED_PART;
+                zone.is_short |= *name != self.zone && (is_shed || part.waiting > 0);
+            }
+            is_known
         });
+        if let Some(home) = zones.get_mut(&self.zone) {
+            home.demand += own;
+        }
         zones
     }
 
@@ -797,13 +817,17 @@
                 continue;
             }
             let occupancy = self.reports.occupancy(instance.address, now);
-            let own = f64::from(instance.slots);
-            slots += own;
-            requests += occupancy.map_or(own, |occupancy| f64::from(occupancy.requests));
+            if let Some(occupancy) = occupancy {
+                slots += f64::from(instance.slots);
+                requests += f64::from(occupancy.requests);
+            }
             let pace = occupancy.map_or(100, |occupancy| occupancy.pace_percent.max(1));
             capacity.engine_ms += MILLIS_PER_SECOND * PERCENT / f64::from(pace);
         }
-        capacity.occupancy = requests / slots.max(1.0);
+        capacity.occupancy = match slots > 0.0 {
+            true => requests / slots,
+            false => 1.0,
+        };
         capacity
     }
 
--- a/crates/policy/src/spillover.rs
+++ b/crates/policy/src/spillover.rs
@@ -4,6 +4,7 @@
 //! instance because callers are unevenly distributed or half of a zone's engines are gone. Traffic
 //! between zones is slower and costs money, so work stays at home as long as the home zone can do
 //! it, and also when all zones are equally overloaded, because leaving would only move the shortage.
+//! A zone that is short of capacity itself gets nothing.
 //! See `docs/design/spillover.md`.
 
 use std::{
@@ -34,6 +35,9 @@
     pub demand: f64,
     /// The work that its engines can do.
     pub capacity: f64,
+    /// Whether requests wait or are shed there, or its engines are full. The description of engines
+    /// is not exact, so demand and capacity alone don't show a shortage.
+    pub is_short: bool,
 }
 
 impl Zone {
@@ -68,7 +72,7 @@
     pub fn update(&mut self, home: Zone, others: &BTreeMap<name::AvailabilityZone, Zone>) {
         let free = others
             .iter()
-            .filter(|(_, zone)| zone.utilisation() < MIN_UTILISATION)
+            .filter(|(_, zone)| !zone.is_short && zone.utilisation() < MIN_UTILISATION)
             .map(|(name, _)| name.clone());
         self.free = Arc::new(free.collect());
         self.shares.retain(|zone, _| others.contains_key(zone));
@@ -128,6 +132,7 @@
     };
     match () {
         () if home.demand <= 0.0 || other.capacity <= 0.0 => 0.0,
+        () if !home.is_short || other.is_short => 0.0,
         () if home.utilisation() < MIN_UTILISATION || difference < threshold => 0.0,
         // A zone without engines sends everything that the other zone can take.
         () if home.capacity <= 0.0 => (other.capacity / home.demand).min(1.0),
