Reset connections of requests that were given up

Cause: an attempt that was dropped before its answer was complete closed its connection in order.

Change: a pooled connection knows whether a request of it is pending. If it is dropped meanwhile, its task is aborted and its socket closes with SO_LINGER 0, also while the request is still being written. A faulty stream's connection is dropped before another instance is asked. Connections whose answer was read whole, or that answered "not run", end in order.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -149,7 +149,7 @@
     mut connection: Connection,
     request: Request<Full<Bytes>>,
 ) -> Outcome {
-    let sent = connection.sender.try_send_request(request).await;
+    let sent = connection.send(request).await;
     let response = match sent {
         Ok(response) => response,
         Err(mut failure) => match failure.take_message() {
@@ -191,7 +191,7 @@
     head: response::Parts,
     body: Incoming,
     reply: Reply,
-    connection: Connection,
+    mut connection: Connection,
 ) -> Outcome {
     let is_foreign = reply.id.is_some() && reply.id != outgoing.ask.id;
     let is_unnamed = reply.id.is_none() && outgoing.ask.id.is_some();
@@ -204,7 +204,10 @@
         () if is_unnamed && (is_success || is_refusal || connection.is_reused) => {
             Outcome::Lost("an answer that names no request came".to_owned())
         }
-        () if is_refusal => Outcome::Refused(head.status),
+        () if is_refusal => {
+            connection.complete();
+            Outcome::Refused(head.status)
+        }
         () if is_promise(head.status) => Outcome::Lost(format!(
             "the instance answered {} without saying that the request did not run",
             head.status
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,15 +1,30 @@
 //! Connections to instances: opened with a short timeout, kept while idle, never trusted blindly.
 
-use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use domain::{clock::Instant, instance::Instance, name};
-use http::{HeaderMap, header};
+use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    body::Incoming,
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
+};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::{net::TcpStream, time};
+use tokio::{net::TcpStream, task::AbortHandle, time};
+
+use crate::socket::Socket;
 
 /// How long opening a connection may take: a few round trips between regions, and the instance's
 /// own delay. A lost first packet is sent again only after a second, so waiting longer is vain.
@@ -29,12 +44,53 @@
 /// instance resets connections beyond its limit, and a request on one of those is lost.
 const IDLE_PERCENT: u32 = 50;
 
-/// An open connection to an instance.
+/// An open connection to an instance, which carries one request at a time.
+///
+/// If it is dropped between [`Connection::send`] and [`Connection::complete`], it is reset at once.
+/// Data that is still unsent is discarded, and the instance sees an error instead of an orderly
+/// end. After an orderly end, an instance that resumes after a freeze would still run the request.
+/// See `docs/LOAD.md`, "Requests that were given up".
 pub struct Connection {
-    /// Takes one request at a time.
-    pub sender: SendRequest<Full<Bytes>>,
     /// Whether it carried a request before.
     pub is_reused: bool,
+    sender: SendRequest<Full<Bytes>>,
+    /// The task that owns the socket.
+    task: AbortHandle,
+    /// Whether the socket ends with a reset.
+    is_broken: Rc<Cell<bool>>,
+    /// Whether a request was sent whose answer is not complete.
+    is_pending: bool,
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// If the connection fails. The error contains the request if nothing of it was sent.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.is_pending = true;
+        self.sender.try_send_request(request).await
+    }
+
+    /// Records that nothing of the request is left at the instance: its answer was read whole, or
+    /// says that the request will never run. From now on the connection ends in order.
+    pub fn complete(&mut self) {
+        self.is_pending = false;
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.is_pending {
+            self.is_broken.set(true);
+            // Dropping the sender alone would let the task shut the socket down in order.
+            self.task.abort();
+        }
+    }
 }
 
 struct Idle {
@@ -78,21 +134,25 @@
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+        let is_broken = Rc::new(Cell::new(false));
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream));
+            .handshake(TokioIo::new(Socket::new(stream, is_broken.clone())));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         // Its end shows in the requests that it carries.
-        tokio::task::spawn_local(async move {
+        let task = tokio::task::spawn_local(async move {
             let _ = connection.await;
         });
         Ok(Connection {
-            sender,
             is_reused: false,
+            sender,
+            task: task.abort_handle(),
+            is_broken,
+            is_pending: false,
         })
     }
 
-    /// Keeps a connection whose answer was whole, as long as the instance does. `share` is how many
+    /// Keeps a complete connection, as long as the instance does. `share` is how many
     /// connections to the instance this entry may have.
     pub fn put(
         &self,
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -242,15 +242,16 @@
             .observe(left, now)
     }
 
-    /// Keeps a connection for the next request. What may not run twice never uses an idle one, so
-    /// its connections are not kept either.
+    /// Keeps a connection whose answer was read whole for the next request. What may not run twice
+    /// never uses an idle one, so its connections are not kept either.
     pub fn keep(
         &self,
         instance: &Instance,
-        connection: Connection,
+        mut connection: Connection,
         kind: Kind,
         lifetime: Option<Duration>,
     ) {
+        connection.complete();
         if !kind.is_repeatable() {
             return;
         }
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -1,4 +1,4 @@
-//! A caller's connection that can end with a reset.
+//! A connection that can end with a reset.
 
 use std::{
     cell::Cell,
@@ -15,8 +15,8 @@
     net::TcpStream,
 };
 
-/// A connection that ends with a reset if it is told so, so that an answer whose end is that of
-/// the connection can't be taken for whole.
+/// A connection that ends with a reset if it is told so. A caller then can't take an answer whose
+/// end is that of the connection for whole, and an instance drops a request that was given up.
 pub(crate) struct Socket {
     stream: TcpStream,
     is_broken: Rc<Cell<bool>>,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -188,6 +188,8 @@
                     if let Some(mut turn) = self.turn.take() {
                         turn.lose();
                     }
+                    // An instance whose answer is faulty may still run the request.
+                    self.connection = None;
                     if let Err(refusal) = self.resume().await {
                         return self.break_off(format!("{reason}; {refusal}"));
                     }
@@ -308,6 +310,7 @@
 
     fn break_off(&mut self, reason: String) -> Option<Result<Frame<Bytes>, Broken>> {
         self.is_over = true;
+        self.connection = None;
         self.call.trace.end(End::Broken(reason));
         Some(Err(Broken))
     }
--- a/crates/relay/tests/whole/main.rs
+++ b/crates/relay/tests/whole/main.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod ends;
 mod gate;
+mod given_up;
 mod heads;
 mod notices;
 mod stale;
