Send nothing more to an engine from which nothing comes

Change: policy::silence notes the streams that wait for their first byte at each engine. After 600 ms without any byte from the engine, with two or more waiting, the entry sends nothing more there until something comes. When none waits any more, one request probes. Attempts that get a whole answer don't count as waiting, because their silence is no sign. At most a third of a service's engines are avoided: if more are silent, it is their load.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod round_robin;
 pub mod router;
 pub mod routes;
+pub mod silence;
 pub mod spool;
 pub mod spread;
 pub mod sse;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -25,6 +25,7 @@
     load,
     notice::{self, Availability, Notice},
     roster::Roster,
+    silence,
     view::View,
 };
 
@@ -191,6 +192,8 @@
     started_at: Instant,
     loads: HashMap<name::Instance, Load>,
     breakers: breaker::Table<name::Instance>,
+    /// Engines from which nothing comes.
+    silent: silence::Table,
     /// What the instances said of themselves.
     notices: notice::Table,
     /// The target versions of each model, oldest first.
@@ -226,6 +229,7 @@
             started_at: now,
             loads: HashMap::new(),
             breakers: breaker::Table::new(),
+            silent: silence::Table::new(),
             notices: notice::Table::new(Duration::ZERO),
             targets: HashMap::new(),
             cold_until: HashMap::new(),
@@ -274,6 +278,7 @@
         self.loads
             .retain(|id, load| load.in_flight > 0 || view.instances.contains_key(id));
         self.breakers.retain(|id| view.instances.contains_key(id));
+        self.silent.retain(|id| view.instances.contains_key(id));
         self.notices
             .retain(|id| view.instances.contains_key(id), now);
         self.reports.sweep(now);
@@ -311,10 +316,15 @@
         };
         let mut error = Error::NoInstance;
         let mut best: Option<(f64, Choice)> = None;
+        let avoids_silent = self.avoids_silent(view, requirements, now);
         for instance in view.instances.values() {
             if self.is_suspected(instance, now) {
                 continue;
             }
+            if avoids_silent && self.silent.is_avoided(&instance.id, now) {
+                error = Error::Busy;
+                continue;
+            }
             let Some(version) = self.eligible_version(view, &service, instance, requirements, now)
             else {
                 continue;
@@ -469,6 +479,33 @@
         }
     }
 
+    /// Records that a stream was sent to an engine, which usually begins it soon.
+    pub fn expect(&mut self, id: &name::Instance, now: Instant) {
+        self.silent.begin(id, now);
+    }
+
+    /// Records that a byte came from an instance.
+    pub fn hear(&mut self, id: &name::Instance, now: Instant) {
+        self.silent.hear(id, now);
+    }
+
+    /// Records that a stream that was sent at `sent_at` no longer waits for its first byte.
+    pub fn stop_expecting(&mut self, id: &name::Instance, sent_at: Instant, now: Instant) {
+        self.silent.end(id, sent_at, now);
+    }
+
+    /// Whether silent instances of the service are avoided. If many are silent, they are slow.
+    fn avoids_silent(&self, view: &View, requirements: &Requirements<'_>, now: Instant) -> bool {
+        if self.silent.is_empty() {
+            return false;
+        }
+        let same = |instance: &&Arc<Instance>| instance.service == *requirements.service;
+        let engines = view.instances.values().filter(same);
+        let is_avoided = |instance: &&Arc<Instance>| self.silent.is_avoided(&instance.id, now);
+        let avoided = engines.clone().filter(is_avoided).count();
+        avoided > 0 && silence::Table::is_exception(avoided, engines.count())
+    }
+
     /// Records a successful answer.
     pub fn succeed(&mut self, id: &name::Instance) {
         self.breakers.succeed(id);
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -425,3 +425,31 @@
     let id: name::Instance = "i-1".into();
     assert!(Arc::ptr_eq(&state.instances[&id], &copy.instances[&id]));
 }
+
+/// Guards against requests that pile up at a frozen engine: it ran them when it resumed, after their
+/// callers had left.
+#[test]
+fn a_silent_engine_gets_no_further_request() {
+    // How many engines are silent of four, and whether the others are chosen instead.
+    let cases = [(1_u16, true), (2, false)];
+    for (silent, is_avoided) in cases {
+        let view = view(fleet((1..=4).map(|n| instance(n, "a", 1)).collect()));
+        let mut placer = placer();
+        placer.observe(&view, LATER);
+        let sent = (1..=silent).flat_map(|n| [n; 2]);
+        for n in sent {
+            placer.expect(&format!("i-{n}").as_str().into(), LATER);
+        }
+        let now = LATER + Duration::from_millis(700);
+        let chosen: Vec<_> = (0..200)
+            .map(|_| choose(&mut placer, &view, &Request::new(), now).unwrap())
+            .collect();
+        let has_silent = chosen.iter().any(|id| id == "i-1");
+        assert_eq!(has_silent, !is_avoided, "{silent} of 4");
+        placer.hear(&"i-1".into(), now);
+        let chosen: Vec<_> = (0..200)
+            .map(|_| choose(&mut placer, &view, &Request::new(), now).unwrap())
+            .collect();
+        assert!(chosen.iter().any(|id| id == "i-1"), "{silent} of 4, heard");
+    }
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -165,6 +165,7 @@
             None => return Outcome::Broken(describe(&failure.into_error())),
         },
     };
+    site.hear(&choice.instance.id);
     let (head, body) = response.into_parts();
     let reply = site.dialect.reply(&head);
     let id = outgoing.ask.id.as_deref();
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -515,6 +515,10 @@
     last_event: Option<u64>,
 ) -> Result<Begun, Tried> {
     let unknown = |reason: String| Tried::Bad(Bad::Unknown(reason));
+    // Other answers come whole, after a time that nobody can tell from a silence.
+    if outgoing.kind.is_stream() {
+        turn.expect();
+    }
     let mut answered = match attempt::exchange(site, outgoing, choice, last_event).await {
         Outcome::Answered(answered) => answered,
         Outcome::NotSent(reason) => return Err(Tried::NotSent(reason)),
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -326,11 +326,18 @@
             instance: choice.instance.clone(),
             prompt_tokens,
             parts: ask.parts.clone(),
+            expected_since: None,
             begun_at: None,
             is_sound: false,
         }
     }
 
+    /// Records that a byte came from an instance.
+    pub fn hear(&self, id: &name::Instance) {
+        let now = self.now();
+        self.place(|placer| placer.hear(id, now));
+    }
+
     /// Follows the state.
     pub async fn follow(self: Rc<Self>, mut changes: watch::Receiver<u64>) {
         loop {
@@ -378,6 +385,8 @@
     pub instance: Arc<Instance>,
     prompt_tokens: u32,
     parts: Arc<[name::Part]>,
+    /// Since when a first byte is expected soon.
+    expected_since: Option<Instant>,
     /// When the first sign of the answer came.
     begun_at: Option<Instant>,
     /// Whether the answer has shown that the prompt is sound.
@@ -385,9 +394,19 @@
 }
 
 impl Turn {
+    /// The request was sent, and its answer usually begins soon.
+    pub fn expect(&mut self) {
+        let now = self.site.now();
+        self.expected_since = Some(now);
+        self.site
+            .place(|placer| placer.expect(&self.instance.id, now));
+    }
+
     /// More of the answer came.
     pub fn progress(&mut self) {
         let now = self.site.now();
+        self.site.hear(&self.instance.id);
+        self.stop_expecting(now);
         match self.begun_at {
             None => {
                 self.begun_at = Some(now);
@@ -414,6 +433,14 @@
         }
     }
 
+    fn stop_expecting(&mut self, now: Instant) {
+        if let Some(since) = self.expected_since.take() {
+            let id = &self.instance.id;
+            self.site
+                .place(|placer| placer.stop_expecting(id, since, now));
+        }
+    }
+
     fn acquit(&mut self) {
         if !std::mem::replace(&mut self.is_sound, true) {
             let service = &self.instance.service;
@@ -424,6 +451,7 @@
 
 impl Drop for Turn {
     fn drop(&mut self) {
+        self.stop_expecting(self.site.now());
         let id = &self.instance.id;
         self.site.place(|placer| {
             if self.begun_at.is_none() {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -249,6 +249,7 @@
         loop {
             let feed = site.feed();
             let mut turn = site.begin(&feed.view, &choice, &self.call.outgoing.ask);
+            turn.expect();
             self.call.tried.push(choice.instance.id.clone());
             let outcome = attempt::exchange(&site, &self.call.outgoing, &choice, last).await;
             let fail = || site.place(|placer| placer.fail(&choice.instance.id, site.now()));
