Give attempts at an old version up that have not begun in time

A stream that has not begun by then is given up with a reset and goes elsewhere, or its caller is told; also one that is resumed. Whole answers are left alone, because nothing shows when they begin, and so is the deadline in the order, which covers the whole answer and would cut answers that began in time.

Measured: a_request_does_not_begin_on_a_version_that_is_over fails without the limit in relay::call and passes with it.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -13,7 +13,7 @@
     instance::{Instance, Phase},
     load::Report,
     name,
-    routing::{Service, Warmup},
+    routing::{self, Service, Warmup},
     vm::{Lifecycle, Upstream},
 };
 use rand::{RngExt, rngs::StdRng};
@@ -189,6 +189,8 @@
     zone: name::AvailabilityZone,
     regions: HashMap<name::AvailabilityZone, name::Region>,
     grace: Grace,
+    /// How long after the last request for an old version a request may begin on it.
+    version_margin: Option<Duration>,
     started_at: Instant,
     loads: HashMap<name::Instance, Load>,
     breakers: breaker::Table<name::Instance>,
@@ -226,6 +228,7 @@
             zone,
             regions,
             grace,
+            version_margin: None,
             started_at: now,
             loads: HashMap::new(),
             breakers: breaker::Table::new(),
@@ -263,6 +266,14 @@
         self
     }
 
+    /// Lets requests begin on an old version for so long after its grace period. Without it they
+    /// may begin at any time.
+    #[must_use]
+    pub fn with_version_margin(mut self, margin: Duration) -> Self {
+        self.version_margin = Some(margin);
+        self
+    }
+
     /// Updates from a new view of the replicated state.
     pub fn observe(&mut self, view: &View, now: Instant) {
         self.observe_targets(view, now);
@@ -560,10 +571,7 @@
         if state.is_some_and(|state| state.is_moving) {
             return None;
         }
-        // The agent learns of a version switch before the engine's next report.
-        let served = state.and_then(|state| state.serving.iter().find(|(held, _)| held == model));
-        let reported = instance.version_of(model, engine.layers);
-        let held = reported.max(served.map(|(_, version)| *version))?;
+        let held = self.held_version(engine, instance, model)?;
         match (requirements.pinned, self.min_version(model, now)) {
             // A resumed answer keeps its version unless that version is no longer allowed.
             (Some(pinned), min) => {
@@ -575,6 +583,38 @@
         }
     }
 
+    /// The version of a model that the instance serves.
+    fn held_version(
+        &self,
+        engine: &routing::Engine,
+        instance: &Instance,
+        model: &name::Artifact,
+    ) -> Option<u64> {
+        // The agent learns of a version switch before the engine's next report.
+        let state = self.engines.get(&instance.address);
+        let served = state.and_then(|state| state.serving.iter().find(|(held, _)| held == model));
+        let reported = instance.version_of(model, engine.layers);
+        reported.max(served.map(|(_, version)| *version))
+    }
+
+    /// When a request that is sent to the instance now must have begun, if the instance serves an
+    /// older version than the target. After that the request must not stay there, because a frozen
+    /// engine runs it when it resumes. See `docs/LOAD.md`, "Requests that were given up".
+    pub fn must_begin_by(
+        &self,
+        view: &View,
+        instance: &Instance,
+        model: &name::Artifact,
+    ) -> Option<Instant> {
+        let margin = self.version_margin?;
+        let service = view.services.get(&instance.service)?;
+        let held = self.held_version(service.engine.as_ref()?, instance, model)?;
+        let mut targets = self.targets.get(model)?.iter();
+        // They are due in their order.
+        let newer = targets.find(|target| target.version > held)?;
+        Some(newer.due_at + margin)
+    }
+
     /// The oldest version of a model that is still allowed, if any target version is due.
     fn min_version(&self, model: &name::Artifact, now: Instant) -> Option<u64> {
         let targets = self.targets.get(model)?;
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -453,3 +453,39 @@
         assert!(chosen.iter().any(|id| id == "i-1"), "{silent} of 4, heard");
     }
 }
+
+/// Guards against requests that begin on an old version when a frozen engine resumes.
+#[test]
+fn a_request_for_an_old_version_must_begin_before_it_is_over() {
+    const MARGIN: Duration = Duration::from_millis(1_000);
+    let at = |ms| LATER + Duration::from_millis(ms);
+    let instances = || {
+        vec![
+            instance(1, "a", 1),
+            instance(2, "a", 2),
+            instance(3, "a", 3),
+        ]
+    };
+    let named = |version| view(fleet(instances()).into_iter().chain([target(version)]));
+    let mut placer = placer().with_version_margin(MARGIN);
+    placer.observe(&named(1), LATER);
+    placer.observe(&named(2), LATER);
+    placer.observe(&named(3), at(2_000));
+    let cases = [
+        ("due first", instance(1, "a", 1), Some(at(7_000))),
+        ("due later", instance(2, "a", 2), Some(at(9_000))),
+        ("the newest", instance(3, "a", 3), None),
+        ("newer than the newest", instance(4, "a", 4), None),
+    ];
+    let state = named(3);
+    for (name, instance, expected) in &cases {
+        let until = placer.must_begin_by(&state, instance, &"m".into());
+        assert_eq!(until, *expected, "{name}");
+        let other = placer.must_begin_by(&state, instance, &"other".into());
+        assert_eq!(other, None, "{name}, another model");
+    }
+    // A version that is over stays so.
+    placer.observe(&state, at(30_000));
+    let until = placer.must_begin_by(&state, &cases[0].1, &"m".into());
+    assert_eq!(until, cases[0].2);
+}
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -12,7 +12,7 @@
     admission::Timeliness,
     crash::Verdict,
     drain,
-    placement::{self, Choice, Requirements},
+    placement::{self, Choice, Placer, Requirements},
 };
 use tokio::time;
 
@@ -33,6 +33,8 @@
 const MAX_NOT_SENT: u32 = 4;
 /// The least time that an attempt is worth.
 const MIN_LEFT: Duration = Duration::from_millis(30);
+/// Why an attempt is given up that must not begin any more.
+pub(crate) const VERSION_OVER: &str = "not begun before its version was over";
 
 /// A call that found its route.
 pub(crate) struct Call {
@@ -394,6 +396,7 @@
         let is_cold = site.place(|placer| placer.is_cold(&choice.instance, sent_at));
         let begun = {
             let begin = begin(&site, &self.outgoing, choice, turn, None);
+            let begin = limit(&site, self.must_begin_by(choice), begin);
             tokio::pin!(begin);
             let patience = attempt::patience(self.route.target_ms);
             match time::timeout(patience, &mut begin).await {
@@ -412,6 +415,16 @@
         begun
     }
 
+    /// When an attempt must have begun. Only a stream shows when it begins; whole answers that
+    /// began in time must not be cut.
+    pub(crate) fn must_begin_by(&self, choice: &Choice) -> Option<Instant> {
+        let model = self.outgoing.ask.model.as_ref()?;
+        let feed = self.site.feed();
+        let find = |placer: &mut Placer| placer.must_begin_by(&feed.view, &choice.instance, model);
+        let is_stream = self.outgoing.kind.is_stream();
+        is_stream.then(|| self.site.place(find)).flatten()
+    }
+
     /// Whether an attempt that is silent may be dropped for another one.
     fn may_turn_away(&self) -> bool {
         self.may_repeat() && self.sent + 1 < self.route.attempts && self.choose(None).is_ok()
@@ -506,6 +519,21 @@
     Bad(Bad),
 }
 
+/// Gives an attempt up that has not begun by the given time.
+async fn limit(
+    site: &Rc<Site>,
+    must_begin_by: Option<Instant>,
+    attempt: impl Future<Output = Result<Begun, Tried>>,
+) -> Result<Begun, Tried> {
+    let Some(at) = must_begin_by else {
+        return attempt.await;
+    };
+    match time::timeout(at.since(site.now()), attempt).await {
+        Ok(begun) => begun,
+        Err(_) => Err(Tried::Bad(Bad::Unknown(VERSION_OVER.to_owned()))),
+    }
+}
+
 /// Sends the request, and waits for the whole answer or the first events of a stream.
 async fn begin(
     site: &Rc<Site>,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -19,7 +19,7 @@
 use crate::{
     attempt::{self, Answered, Outcome},
     body::{self, Body, Broken},
-    call::Call,
+    call::{Call, VERSION_OVER},
     journal::End,
     pool::{self, Connection},
     site::{Presence, Turn},
@@ -251,7 +251,13 @@
             let mut turn = site.begin(&feed.view, &choice, &self.call.outgoing.ask);
             turn.expect();
             self.call.tried.push(choice.instance.id.clone());
-            let outcome = attempt::exchange(&site, &self.call.outgoing, &choice, last).await;
+            let exchange = attempt::exchange(&site, &self.call.outgoing, &choice, last);
+            let outcome = match self.call.must_begin_by(&choice) {
+                Some(at) => time::timeout(at.since(site.now()), exchange)
+                    .await
+                    .unwrap_or_else(|_| Outcome::Lost(VERSION_OVER.to_owned())),
+                None => exchange.await,
+            };
             let fail = || site.place(|placer| placer.fail(&choice.instance.id, site.now()));
             let answered = match outcome {
                 // One that can't be reached costs nothing but time.
--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -15,7 +15,7 @@
     instance::{Instance, Layers, Phase},
     name,
     quarantine::{self, Write},
-    record::{Batch, Cursor, Delta, Record, Routing},
+    record::{Batch, Cursor, Delta, Record, Routing, Target},
     routing::{Engine, Kind, Limits, Route, Service, Share},
 };
 use futures::{
@@ -48,6 +48,10 @@
 
 /// How long an instance that leaves may still be used.
 pub(crate) const DRAIN: Duration = Duration::from_millis(300);
+/// How long requests are sent for an old version after a newer one was named.
+const GRACE: Duration = Duration::from_millis(300);
+/// How long after that they may begin.
+const VERSION_MARGIN: Duration = Duration::from_millis(400);
 
 /// How long a relay that is to end takes new connections.
 pub(crate) const NOTICE: Duration = Duration::from_millis(100);
@@ -73,6 +77,7 @@
             parts: text("parts")
                 .map(|parts| parts.split(',').map(name::Part::from).collect())
                 .unwrap_or_default(),
+            model: text("model").map(name::Artifact::from),
             last_event: text("last").and_then(|last| last.parse().ok()),
             ..Ask::default()
         }
@@ -204,6 +209,20 @@
 }
 
 impl Control {
+    /// Names a version of the model.
+    pub(crate) fn name_version(&self, version: u64) {
+        let mut view = View::clone(&self.view.borrow());
+        let target = Record::Target(Target {
+            model: "m".into(),
+            version,
+        });
+        let commit = view.commit + 1;
+        view.apply(batch(false, commit, vec![Delta::Set(target)]))
+            .unwrap();
+        *self.view.borrow_mut() = Arc::new(view);
+        self.changes.send_modify(|n| *n += 1);
+    }
+
     /// The parts that are suspected.
     pub(crate) fn suspected(&self) -> Vec<String> {
         let view = self.view.borrow();
@@ -252,7 +271,7 @@
     })
 }
 
-fn instance(n: usize, address: SocketAddr) -> Record {
+fn instance(n: usize, address: SocketAddr, version: u64) -> Record {
     Record::Instance(Box::new(Instance {
         id: format!("i-{n}").as_str().into(),
         born_ms: 1,
@@ -264,7 +283,7 @@
         cold_ms: 0,
         layers: vec![Layers {
             model: "m".into(),
-            version: 1,
+            version,
             begin: 0,
             end: None,
         }],
@@ -292,8 +311,14 @@
     }
 }
 
-/// A control that knows these instances.
+/// A control that knows these instances, which serve the first version.
 pub(crate) fn control(upstreams: &[SocketAddr]) -> Rc<Control> {
+    let upstreams: Vec<_> = upstreams.iter().map(|address| (*address, 1)).collect();
+    control_of(&upstreams)
+}
+
+/// A control that knows these instances with the versions that they serve.
+pub(crate) fn control_of(upstreams: &[(SocketAddr, u64)]) -> Rc<Control> {
     let records = [
         Record::Routing(Routing {
             version: 1,
@@ -312,7 +337,7 @@
         route("/stream/", Kind::Stream { is_resumable: true }),
     ];
     let instances = upstreams.iter().enumerate();
-    let instances = instances.map(|(n, address)| instance(n, *address));
+    let instances = instances.map(|(n, (address, version))| instance(n, *address, *version));
     let records = records.into_iter().chain(instances).map(Delta::Set);
     let mut view = View::default();
     view.apply(batch(true, 1, records.collect())).unwrap();
@@ -352,13 +377,16 @@
     ) -> Self {
         let clock: Arc<dyn Clock> = Arc::new(control.clock);
         let grace = Grace {
-            seen: Duration::from_secs(8),
-            unseen: Duration::from_secs(1),
+            seen: GRACE,
+            unseen: GRACE,
         };
         let regions = HashMap::from([("z".into(), "r".into())]);
         let rng = StdRng::seed_from_u64(1);
+        let placer = Placer::new("z".into(), regions, grace, rng, Instant::ZERO)
+            .with_version_margin(VERSION_MARGIN)
+            .with_drain(DRAIN);
         let site = Site::new(Given {
-            placer: Placer::new("z".into(), regions, grace, rng, Instant::ZERO).with_drain(DRAIN),
+            placer,
             clock,
             state: control.clone(),
             reports: control.clone(),
--- a/crates/relay/tests/whole/given_up.rs
+++ b/crates/relay/tests/whole/given_up.rs
@@ -12,7 +12,7 @@
     time,
 };
 
-use crate::common::{Relay, listen, run};
+use crate::common::{Relay, control_of, listen, run};
 
 const GOOD: &str = "HTTP/1.1 200 OK\r\nid: q\r\nseal: 1\r\ncontent-length: 4\r\n\r\nbody";
 const CLOSING: &str =
@@ -240,3 +240,66 @@
         assert!(wrong.is_empty(), "{wrong:?}");
     });
 }
+
+/// An instance that answers the first request so and goes on after a pause that is longer than an
+/// old version may be used.
+async fn pausing(first: &'static str, rest: &'static str) -> (SocketAddr, mpsc::Receiver<End>) {
+    let (ends, end) = mpsc::channel(8);
+    let address = listen(move |mut stream| {
+        let ends = ends.clone();
+        async move {
+            stream.readable().await.unwrap();
+            stream.write_all(first.as_bytes()).await.unwrap();
+            time::sleep(Duration::from_millis(900)).await;
+            let is_written = stream.write_all(rest.as_bytes()).await.is_ok();
+            let end = match stream.take_error().unwrap() {
+                None if is_written => End::InOrder,
+                _ => End::Reset,
+            };
+            let _ = ends.send(end).await;
+            future::pending().await
+        }
+    })
+    .await;
+    (address, end)
+}
+
+/// Fails where a request stays at an instance of an old version that has not begun it: it began
+/// when the instance resumed, later than the version may be used. An answer that began in time goes
+/// on.
+#[test]
+fn a_request_does_not_begin_on_a_version_that_is_over() {
+    const ASK: &str = "GET /stream/ HTTP/1.1\r\nhost: h\r\nid: q\r\nmodel: m\r\n\
+                       connection: close\r\n\r\n";
+    const REST: &str = "F\r\nid: 2\ndata: x\n\n\r\n0\r\n\r\n";
+    // What the instance of the old version writes before and after the version is over, whether an
+    // instance of the new version is there, what callers get, and what the old instance sees.
+    let cases = [
+        (SILENCE, SILENCE, false, "HTTP/1.1 502", End::Reset),
+        (SILENCE, SILENCE, true, "HTTP/1.1 200", End::Reset),
+        (BEGUN, REST, false, "HTTP/1.1 200", End::InOrder),
+    ];
+    run(async {
+        for (first, rest, has_new, expected, end) in cases {
+            let case = format!("{first:?}, an instance of the new version: {has_new}");
+            let (old, mut ends) = pausing(first, rest).await;
+            let (new, _ends) = pausing(BEGUN, REST).await;
+            let both = [(old, 1), (new, 2)];
+            let control = control_of(&both[..1 + usize::from(has_new)]);
+            let relay = Relay::join(control);
+            relay.control.name_version(2);
+            time::sleep(Duration::from_millis(10)).await;
+            // Two instances get two of four requests each.
+            let count = 1 + 3 * usize::from(has_new);
+            let answers = future::join_all((0..count).map(|_| relay.send_raw(ASK))).await;
+            for answer in answers {
+                assert!(answer.starts_with(expected), "{case}: {answer:?}");
+                assert!(
+                    !expected.ends_with("200") || answer.ends_with("0\r\n\r\n"),
+                    "{case}"
+                );
+            }
+            assert_eq!(ends.recv().await, Some(end), "{case}");
+        }
+    });
+}
