--- a/crates/policy/src/changes.rs
+++ b/crates/policy/src/changes.rs
@@ -6,7 +6,7 @@
 //!
 //! See `docs/ARCHITECTURE.md`, "Feed".
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use domain::{
     record::{Cursor, Delta, Key, Record},
@@ -41,7 +41,8 @@
     floor: u64,
     slots: BTreeMap<Key, Slot>,
     order: BTreeMap<u64, Key>,
-    tombstones: usize,
+    /// The sequence numbers of the tombstones.
+    tombstones: BTreeSet<u64>,
 }
 
 impl Changes {
@@ -54,7 +55,7 @@
             floor: 0,
             slots: BTreeMap::new(),
             order: BTreeMap::new(),
-            tombstones: 0,
+            tombstones: BTreeSet::new(),
         }
     }
 
@@ -76,14 +77,15 @@
         if old.and_then(|slot| slot.record.as_ref()) == record.as_ref() {
             return false;
         }
-        let was_tombstone = old.is_some_and(|slot| slot.record.is_none());
         if let Some(slot) = old {
             self.order.remove(&slot.sequence);
+            self.tombstones.remove(&slot.sequence);
         }
-        self.tombstones =
-            self.tombstones - usize::from(was_tombstone) + usize::from(record.is_none());
         self.sequence += 1;
         let sequence = self.sequence;
+        if record.is_none() {
+            self.tombstones.insert(sequence);
+        }
         self.order.insert(sequence, key.clone());
         self.slots.insert(key, Slot { sequence, record });
         self.prune();
@@ -138,19 +140,12 @@
     }
 
     fn prune(&mut self) {
-        if self.tombstones <= MAX_TOMBSTONES {
+        if self.tombstones.len() <= MAX_TOMBSTONES {
             return;
         }
-        let is_tombstone = |key: &Key| {
-            let slot = self.slots.get(key);
-            slot.is_some_and(|slot| slot.record.is_none())
-        };
-        let oldest = self.order.iter().find(|(_, key)| is_tombstone(key));
-        if let Some((&sequence, key)) = oldest {
-            let key = key.clone();
-            self.order.remove(&sequence);
-            self.slots.remove(&key);
-            self.tombstones -= 1;
+        if let Some(sequence) = self.tombstones.pop_first() {
+            let key = self.order.remove(&sequence);
+            key.and_then(|key| self.slots.remove(&key));
             self.floor = sequence;
         }
     }
--- a/crates/policy/tests/changes.rs
+++ b/crates/policy/tests/changes.rs
@@ -125,3 +125,33 @@
             }
         });
 }
+
+/// Guards against the wrong tombstones being dropped: a subscriber would keep records that were
+/// removed. Before, each removal also looked for the oldest tombstone among all records, so that
+/// the removal of 8,300 routes took 4.6 s.
+#[test]
+fn the_oldest_tombstones_are_dropped_first() {
+    const EXTRA: usize = 10;
+    let mut changes = Changes::new(EPOCH);
+    let all = MAX_TOMBSTONES + EXTRA;
+    for n in 0..all {
+        changes.apply(Delta::Set(drain(n)));
+    }
+    let mut subscribers = Vec::new();
+    for n in 0..all {
+        let mut subscriber = Subscriber::default();
+        subscriber.poll(&changes);
+        subscribers.push(subscriber);
+        changes.apply(Delta::Remove(drain(n).key()));
+    }
+    // One that comes back is no tombstone any more, so that one more fits.
+    changes.apply(Delta::Set(drain(all - 1)));
+    changes.apply(Delta::Set(drain(all)));
+    changes.apply(Delta::Remove(drain(all).key()));
+    for (n, mut subscriber) in subscribers.into_iter().enumerate() {
+        let (is_snapshot, _) = subscriber.poll(&changes);
+        assert_eq!(is_snapshot, n < EXTRA, "after {n} removals");
+        let keys: Vec<_> = subscriber.records.into_keys().collect();
+        assert_eq!(keys, [drain(all - 1).key()], "after {n} removals");
+    }
+}
