Decode routings beside the loop of a replica

Cause: a replica decoded and checked a document in its loop, once when it took the edit and once when it applied it, built all records anew and compared all of them in two feeds.

Change: documents are packed, decoded and compared with the routing before on another thread. The replica that took the edit decodes it once. The loop applies only what differs, to both feeds in one step. Until then batches have the revision and commit from before the routing, and an age that grows, so that a subscriber neither sees half a routing nor takes an old one for new.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -16,8 +16,9 @@
     edit::{Outcome, Revision},
     instance::Write,
     name,
-    record::{Batch, Cursor, Delta, Key, Record, Routing},
+    record::{Batch, Cursor, Delta, Key, Record},
     routing::Format,
+    violation::Violation,
 };
 use peer::control::Scope;
 use policy::{
@@ -34,6 +35,7 @@
     log::{self, Log},
     metrics::Metrics,
     registrar::Registrar,
+    routing::{Change, Routing},
     util::as_millis_up,
 };
 
@@ -62,7 +64,8 @@
     /// The services of the routing in force.
     services: RefCell<Option<BTreeSet<name::Service>>>,
     log: OnceCell<Rc<dyn Log>>,
-    format: OnceCell<Rc<dyn Format>>,
+    /// The records of the feeds that follow from the routing in force.
+    pub routing: Routing,
     /// Whether feeds wait until the VMs of all replicas are known.
     waits_for_vms: Cell<bool>,
     /// When upstream instances were last heard.
@@ -92,7 +95,7 @@
             table: RefCell::new(table),
             services: RefCell::default(),
             log: OnceCell::new(),
-            format: OnceCell::new(),
+            routing: Routing::default(),
             waits_for_vms: Cell::new(true),
             registrar: Registrar::default(),
         })
@@ -105,8 +108,8 @@
     }
 
     /// Sets how routings are read. Only the first call counts; it comes before any command.
-    pub fn read_routing_by(&self, format: Rc<dyn Format>) {
-        let _ = self.format.set(format);
+    pub fn read_routing_by(&self, format: Arc<dyn Format>) {
+        self.routing.read_by(format);
     }
 
     /// Lets feeds begin before the VMs of all replicas are known. It is right where no upstream is
@@ -115,11 +118,6 @@
         self.waits_for_vms.set(false);
     }
 
-    /// How routings are read, if this control takes any.
-    pub fn format(&self) -> Option<&Rc<dyn Format>> {
-        self.format.get()
-    }
-
     /// The replicated log, once it is bound.
     pub fn log(&self) -> Option<Rc<dyn Log>> {
         self.log.get().cloned()
@@ -155,26 +153,24 @@
             Command::Edit { edit, .. } => Some(edit.id.clone()),
             _ => None,
         };
-        let (applied, is_rerouted) = {
+        let version = |state: &State| state.routing().map(|document| document.version);
+        let (applied, before, forced) = {
             let mut state = self.state.borrow_mut();
-            let before = state.routing().cloned();
+            let (before, old) = (state.revision(), version(&state));
             let applied = state.apply(term, index, command);
-            (applied, state.routing() != before.as_ref())
+            let forced = version(&state).filter(|_| version(&state) != old);
+            (applied, before, forced)
         };
-        self.applied.replace(index);
+        let commit = self.applied.replace(index);
+        if let Some(version) = forced {
+            let now = self.clock.now();
+            self.routing.force(version, now, before, commit);
+        }
         self.log_conflict(id.as_deref(), &applied.reply);
         self.log_quarantine(&applied.deltas);
         self.entries.apply(applied.deltas.iter().cloned());
-        let for_agents = |delta: &Delta| match delta {
-            Delta::Set(record) => is_for_agents(&record.key()),
-            Delta::Remove(key) => is_for_agents(key),
-        };
         self.agents
-            .apply(applied.deltas.into_iter().filter(for_agents));
-        if is_rerouted {
-            let records = self.routing_records();
-            self.replace(records, is_routing);
-        }
+            .apply(applied.deltas.into_iter().filter(is_delta_for_agents));
         applied.reply
     }
 
@@ -222,49 +218,53 @@
         self.entries.replace(records, is_covered);
     }
 
-    /// The records of the feed that follow from the routing in force.
-    fn routing_records(&self) -> Vec<Record> {
-        let document = self.state.borrow().routing().cloned();
-        let (Some(document), Some(format)) = (document, self.format.get()) else {
-            return Vec::new();
-        };
-        let table = match format.read(&document) {
-            Ok(table) => table,
-            Err(violations) => {
-                // It was read before it was accepted, so another version of the program wrote it.
-                error!(self.logger, "routing: could not read the accepted document";
-                    "version" => document.version, "violations" => ?violations);
-                return Vec::new();
-            }
-        };
-        let names = table.services.iter().map(|service| service.name.clone());
-        *self.services.borrow_mut() = Some(names.collect());
-        let head = Routing {
-            version: document.version,
-            limits: table.limits,
-            has_callers: !table.callers.is_empty(),
+    /// Brings the records of each routing that comes into force into the feeds.
+    pub async fn follow_routing(self: Rc<Self>) {
+        loop {
+            self.routing.changed().await;
+            let Some(document) = self.state().routing().cloned() else {
+                // A snapshot has taken it away meanwhile, and has cleared what was pending.
+                continue;
+            };
+            let change = self.routing.change(&document).await;
+            self.show_routing(document.version, change);
+        }
+    }
+
+    /// Changes the feeds in one step, so that no subscriber sees a part of a routing.
+    fn show_routing(&self, version: u64, change: Result<Change, Vec<Violation>>) {
+        let change = change.unwrap_or_else(|violations| {
+            // It was read before it was accepted, so another version of the program wrote it.
+            error!(self.logger, "routing: could not read the accepted document";
+                "version" => version, "violations" => ?violations);
+            self.routing.change_to_none(version)
+        });
+        let services = change.services.clone();
+        // If a snapshot came meanwhile, it has brought the records of a newer routing.
+        let Some(deltas) = self.routing.show(change) else {
+            return;
         };
-        let services = table
-            .services
-            .into_iter()
-            .map(Box::new)
-            .map(Record::Service);
-        let routes = table.routes.into_iter().map(Record::Route);
-        let callers = table.callers.into_iter().map(Record::Caller);
-        services
-            .chain(callers)
-            .chain(routes)
-            .chain([Record::Routing(head)])
-            .collect()
+        self.services.replace(Some(services));
+        let for_agents = deltas.iter().filter(|delta| is_delta_for_agents(delta));
+        self.agents.apply(for_agents.cloned());
+        self.entries.apply(deltas);
     }
 
     /// Replaces the replicated state by that of a snapshot.
     pub fn restore(&self, index: u64, state: State) {
-        let mut records = state.records();
+        let records = state.records();
+        let document = state.routing().cloned();
         self.state.replace(state);
         self.applied.replace(index);
-        records.extend(self.routing_records());
-        self.replace(records, |key| !matches!(key, Key::Vm(_)));
+        self.replace(records, |key| {
+            !matches!(key, Key::Vm(_)) && !is_routing(key)
+        });
+        // A feed without its routes would take them from subscribers, so this is done at once.
+        let change = match &document {
+            Some(document) => self.routing.change_now(document),
+            None => Ok(self.routing.change_to_none(u64::MAX)),
+        };
+        self.show_routing(document.map_or(0, |document| document.version), change);
     }
 
     /// Changes the table of VMs, and tells the feeds.
@@ -345,8 +345,18 @@
 
     /// What a subscriber lacks, with the age that holds at this moment.
     pub fn batch(&self, scope: Scope, cursor: Cursor) -> Batch {
-        let age = self.age().map_or(u64::MAX, as_millis_up);
-        self.seal(self.lane(scope).since(cursor), age)
+        // The feed may lack a routing that is in force. Its age says so.
+        let lag = self.routing.lag(self.clock.now());
+        let age = self.age().map_or(u64::MAX, |age| as_millis_up(age + lag));
+        let batch = self.seal(self.lane(scope).since(cursor), age);
+        match self.routing.pending() {
+            None => batch,
+            Some(pending) => Batch {
+                revision: pending.revision,
+                commit: pending.commit,
+                ..batch
+            },
+        }
     }
 
     /// What another replica lacks of this one's sessions.
@@ -388,6 +398,13 @@
     )
 }
 
+fn is_delta_for_agents(delta: &Delta) -> bool {
+    match delta {
+        Delta::Set(record) => is_for_agents(&record.key()),
+        Delta::Remove(key) => is_for_agents(key),
+    }
+}
+
 /// Agents choose no routes, know no callers and read no prompts.
 fn is_for_agents(key: &Key) -> bool {
     !matches!(key, Key::Route(_) | Key::Caller(_) | Key::Suspect(_))
--- a/crates/control/src/edits.rs
+++ b/crates/control/src/edits.rs
@@ -7,7 +7,6 @@
     command::{Command, Reply},
     edit::{Change, Edit, Outcome},
     lists::Lists,
-    routing::Document,
     violation::Violation,
 };
 use operator::service::Failure;
@@ -45,7 +44,7 @@
     }
     let seen = core.state().revision();
     if let Change::Routing(document) = &edit.change
-        && let Err(violations) = read_routing(&core, document)
+        && let Err(violations) = core.routing.read(document).await
     {
         info!(core.logger, "edit: refused"; "edit" => &*edit.id, "violations" => ?violations);
         return Ok(Outcome::Refused { violations });
@@ -74,17 +73,6 @@
     answer
 }
 
-/// What is wrong with a routing, by the format that this control reads.
-fn read_routing(core: &Core, document: &Document) -> Result<(), Vec<Violation>> {
-    match core.format() {
-        Some(format) => format.read(document).map(|_| ()),
-        None => {
-            let message = "this control takes no routing";
-            Err(vec![Violation::new("$.change.routing", message)])
-        }
-    }
-}
-
 /// Puts a failure of the log in the operators' terms.
 pub fn failure(error: &log::Error) -> Failure {
     let detail = error.to_string();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod pins;
 pub mod registrar;
 pub mod replication;
+pub mod routing;
 pub mod service;
 pub mod single;
 pub mod soft;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -53,7 +53,7 @@
     /// See [`Setup::promotion`].
     pub promotion: Promotion,
     /// How routings are read, if this control takes any.
-    pub format: Option<Rc<dyn Format>>,
+    pub format: Option<Arc<dyn Format>>,
     /// Whether feeds wait until the VMs of all replicas are known. They must where upstreams are
     /// reached through agents, or a fresh replica would take those from entries.
     pub waits_for_vms: bool,
@@ -113,6 +113,7 @@
         .with_replica(replica.service);
     task::spawn_local(exchange::run(core.clone(), dialer));
     task::spawn_local(leader::run(core.clone()));
+    task::spawn_local(core.clone().follow_routing());
     task::spawn_local(registrar::run(core.clone()));
     task::spawn_local(watch(core.clone()));
     task::spawn_local(announce(core.clone(), address));
--- a/crates/domain/src/routing.rs
+++ b/crates/domain/src/routing.rs
@@ -21,8 +21,9 @@
     pub content: Vec<u8>,
 }
 
-/// A decoder for one document format. The process that runs control provides it.
-pub trait Format {
+/// A decoder for one document format. The process that runs control provides it, and calls it on
+/// other threads than its own.
+pub trait Format: Send + Sync {
     /// Decodes and validates a document.
     ///
     /// # Errors
