--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod round_robin;
 pub mod router;
 pub mod routes;
+pub mod silence;
 pub mod spillover;
 pub mod spool;
 pub mod spread;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -18,7 +18,7 @@
     instance::{Instance, Phase},
     load::Report,
     name,
-    routing::{Service, Warmup},
+    routing::{self, Service, Warmup},
     vm::{Lifecycle, Upstream},
 };
 use rand::{RngExt, rngs::StdRng};
@@ -30,6 +30,7 @@
     load,
     notice::{self, Availability, Notice},
     roster::Roster,
+    silence,
     spillover::{Spillover, Zone},
     view::View,
 };
@@ -226,11 +227,15 @@
     zone: name::AvailabilityZone,
     regions: HashMap<name::AvailabilityZone, name::Region>,
     grace: Grace,
+    /// How long after the last request for an old version a request may begin on it.
+    version_margin: Option<Duration>,
     started_at: Instant,
     /// Whether a state of the fleet has been observed.
     has_state: bool,
     loads: HashMap<name::Instance, Load>,
     breakers: breaker::Table<name::Instance>,
+    /// Engines from which nothing comes.
+    silent: silence::Table,
     /// What the instances said of themselves.
     notices: notice::Table,
     /// The target versions of each model, oldest first.
@@ -265,10 +270,12 @@
             zone,
             regions,
             grace,
+            version_margin: None,
             started_at: now,
             has_state: false,
             loads: HashMap::new(),
             breakers: breaker::Table::new(),
+            silent: silence::Table::new(),
             notices: notice::Table::new(Duration::ZERO),
             targets: HashMap::new(),
             cold_until: HashMap::new(),
@@ -303,6 +310,14 @@
         self
     }
 
+    /// Lets requests begin on an old version for so long after its grace period. Without it they
+    /// may begin at any time.
+    #[must_use]
+    pub fn with_version_margin(mut self, margin: Duration) -> Self {
+        self.version_margin = Some(margin);
+        self
+    }
+
     /// Updates from a new view of the replicated state.
     pub fn observe(&mut self, view: &View, now: Instant) {
         self.observe_targets(view, now);
@@ -319,6 +334,7 @@
         self.loads
             .retain(|id, load| load.in_flight > 0 || view.instances.contains_key(id));
         self.breakers.retain(|id| view.instances.contains_key(id));
+        self.silent.retain(|id| view.instances.contains_key(id));
         self.notices
             .retain(|id| view.instances.contains_key(id), now);
         self.reports.sweep(now);
@@ -392,10 +408,15 @@
         };
         let mut error = Error::NoInstance;
         let mut candidates = Vec::new();
+        let avoids_silent = self.avoids_silent(view, requirements, now);
         for instance in view.instances.values() {
             if !is_wanted(&instance.zone) || self.is_suspected(instance, now) {
                 continue;
             }
+            if avoids_silent && self.silent.is_avoided(&instance.id, now) {
+                error = Error::Busy;
+                continue;
+            }
             let Some(version) = self.eligible_version(view, &service, instance, requirements, now)
             else {
                 continue;
@@ -567,6 +588,33 @@
         }
     }
 
+    /// Records that a stream was sent to an engine, which usually begins it soon.
+    pub fn expect(&mut self, id: &name::Instance, now: Instant) {
+        self.silent.begin(id, now);
+    }
+
+    /// Records that a byte came from an instance.
+    pub fn hear(&mut self, id: &name::Instance, now: Instant) {
+        self.silent.hear(id, now);
+    }
+
+    /// Records that a stream that was sent at `sent_at` no longer waits for its first byte.
+    pub fn stop_expecting(&mut self, id: &name::Instance, sent_at: Instant, now: Instant) {
+        self.silent.end(id, sent_at, now);
+    }
+
+    /// Whether silent instances of the service are avoided. If many are silent, they are slow.
+    fn avoids_silent(&self, view: &View, requirements: &Requirements<'_>, now: Instant) -> bool {
+        if self.silent.is_empty() {
+            return false;
+        }
+        let same = |instance: &&Arc<Instance>| instance.service == *requirements.service;
+        let engines = view.instances.values().filter(same);
+        let is_avoided = |instance: &&Arc<Instance>| self.silent.is_avoided(&instance.id, now);
+        let avoided = engines.clone().filter(is_avoided).count();
+        avoided > 0 && silence::Table::is_exception(avoided, engines.count())
+    }
+
     /// Records a successful answer.
     pub fn succeed(&mut self, id: &name::Instance) {
         self.breakers.succeed(id);
@@ -621,10 +669,7 @@
         if state.is_some_and(|state| state.is_moving) {
             return None;
         }
-        // The agent learns of a version switch before the engine's next report.
-        let served = state.and_then(|state| state.serving.iter().find(|(held, _)| held == model));
-        let reported = instance.version_of(model, engine.layers);
-        let held = reported.max(served.map(|(_, version)| *version))?;
+        let held = self.held_version(engine, instance, model)?;
         match (requirements.pinned, self.min_version(model, now)) {
             // A resumed answer keeps its version unless that version is no longer allowed.
             (Some(pinned), min) => {
@@ -636,6 +681,38 @@
         }
     }
 
+    /// The version of a model that the instance serves.
+    fn held_version(
+        &self,
+        engine: &routing::Engine,
+        instance: &Instance,
+        model: &name::Artifact,
+    ) -> Option<u64> {
+        // The agent learns of a version switch before the engine's next report.
+        let state = self.engines.get(&instance.address);
+        let served = state.and_then(|state| state.serving.iter().find(|(held, _)| held == model));
+        let reported = instance.version_of(model, engine.layers);
+        reported.max(served.map(|(_, version)| *version))
+    }
+
+    /// When a request that is sent to the instance now must have begun, if the instance serves an
+    /// older version than the target. After that the request must not stay there, because a frozen
+    /// engine runs it when it resumes. See `docs/LOAD.md`, "Requests that were given up".
+    pub fn must_begin_by(
+        &self,
+        view: &View,
+        instance: &Instance,
+        model: &name::Artifact,
+    ) -> Option<Instant> {
+        let margin = self.version_margin?;
+        let service = view.services.get(&instance.service)?;
+        let held = self.held_version(service.engine.as_ref()?, instance, model)?;
+        let mut targets = self.targets.get(model)?.iter();
+        // They are due in their order.
+        let newer = targets.find(|target| target.version > held)?;
+        Some(newer.due_at + margin)
+    }
+
     /// The oldest version of a model that is still allowed, if any target version is due.
     fn min_version(&self, model: &name::Artifact, now: Instant) -> Option<u64> {
         let targets = self.targets.get(model)?;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -19,7 +19,7 @@
 use crate::{
     attempt::{self, Answered, Outcome},
     body::{self, Body, Broken},
-    call::Call,
+    call::{Call, VERSION_OVER},
     journal::End,
     pool::{self, Connection},
     site::{Presence, Turn},
@@ -188,6 +188,8 @@
                     if let Some(mut turn) = self.turn.take() {
                         turn.lose();
                     }
+                    // An instance whose answer is faulty may still run the request.
+                    self.connection = None;
                     if let Err(refusal) = self.resume().await {
                         return self.break_off(format!("{reason}; {refusal}"));
                     }
@@ -247,8 +249,15 @@
         loop {
             let feed = site.feed();
             let mut turn = site.begin(&feed.view, &choice, &self.call.outgoing.ask);
+            turn.expect();
             self.call.tried.push(choice.instance.id.clone());
-            let outcome = attempt::exchange(&site, &self.call.outgoing, &choice, last).await;
+            let exchange = attempt::exchange(&site, &self.call.outgoing, &choice, last);
+            let outcome = match self.call.must_begin_by(&choice) {
+                Some(at) => time::timeout(at.since(site.now()), exchange)
+                    .await
+                    .unwrap_or_else(|_| Outcome::Lost(VERSION_OVER.to_owned())),
+                None => exchange.await,
+            };
             let fail = || site.place(|placer| placer.fail(&choice.instance.id, site.now()));
             let answered = match outcome {
                 // One that can't be reached costs nothing but time.
@@ -308,6 +317,7 @@
 
     fn break_off(&mut self, reason: String) -> Option<Result<Frame<Bytes>, Broken>> {
         self.is_over = true;
+        self.connection = None;
         self.call.trace.end(End::Broken(reason));
         Some(Err(Broken))
     }
--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -18,7 +18,7 @@
     instance::{Instance, Layers, Phase},
     name,
     quarantine::{self, Write},
-    record::{Batch, Cursor, Delta, Record, Routing},
+    record::{Batch, Cursor, Delta, Record, Routing, Target},
     routing::{Engine, Kind, Limits, Route, Service, Share},
     vm::{self, Announcement, Lifecycle, Status, Vm},
 };
@@ -52,6 +52,10 @@
 
 /// How long an instance that leaves may still be used.
 pub(crate) const DRAIN: Duration = Duration::from_millis(300);
+/// How long requests are sent for an old version after a newer one was named.
+const GRACE: Duration = Duration::from_millis(300);
+/// How long after that they may begin.
+const VERSION_MARGIN: Duration = Duration::from_millis(400);
 
 /// How long a relay that is to end takes new connections.
 pub(crate) const NOTICE: Duration = Duration::from_millis(100);
@@ -77,6 +81,7 @@
             parts: text("parts")
                 .map(|parts| parts.split(',').map(name::Part::from).collect())
                 .unwrap_or_default(),
+            model: text("model").map(name::Artifact::from),
             last_event: text("last").and_then(|last| last.parse().ok()),
             prompt_tokens: text("prompt").and_then(|n| n.parse().ok()).unwrap_or(0),
             ..Ask::default()
@@ -232,6 +237,20 @@
 }
 
 impl Control {
+    /// Names a version of the model.
+    pub(crate) fn name_version(&self, version: u64) {
+        let mut view = View::clone(&self.view.borrow());
+        let target = Record::Target(Target {
+            model: "m".into(),
+            version,
+        });
+        let commit = view.commit + 1;
+        view.apply(batch(false, commit, vec![Delta::Set(target)]))
+            .unwrap();
+        *self.view.borrow_mut() = Arc::new(view);
+        self.changes.send_modify(|n| *n += 1);
+    }
+
     /// The parts that are suspected.
     pub(crate) fn suspected(&self) -> Vec<String> {
         let view = self.view.borrow();
@@ -284,7 +303,7 @@
     })
 }
 
-fn instance(n: usize, address: SocketAddr) -> Record {
+fn instance(n: usize, address: SocketAddr, version: u64) -> Record {
     Record::Instance(Box::new(Instance {
         id: format!("i-{n}").as_str().into(),
         born_ms: 1,
@@ -296,7 +315,7 @@
         cold_ms: 0,
         layers: vec![Layers {
             model: "m".into(),
-            version: 1,
+            version,
             begin: 0,
             end: None,
         }],
@@ -344,17 +363,23 @@
     }
 }
 
-/// A control that knows these instances.
+/// A control that knows these instances, which serve the first version.
 pub(crate) fn control(upstreams: &[SocketAddr]) -> Rc<Control> {
+    let upstreams: Vec<_> = upstreams.iter().map(|address| (*address, 1)).collect();
+    control_of(&upstreams)
+}
+
+/// A control that knows these instances with the versions that they serve.
+pub(crate) fn control_of(upstreams: &[(SocketAddr, u64)]) -> Rc<Control> {
     let routes = vec![
         route("/again/", Kind::Idempotent),
         route("/once/", Kind::Once),
         route("/stream/", Kind::Stream { is_resumable: true }),
     ];
     let instances = upstreams.iter().enumerate();
-    let instances = instances.map(|(n, address)| instance(n, *address));
+    let instances = instances.map(|(n, (address, version))| instance(n, *address, *version));
     let clock = Arc::new(Steady(std::time::Instant::now()));
-    control_of(
+    control_with(
         routes.into_iter().chain(instances).collect(),
         Vec::new(),
         clock,
@@ -367,7 +392,7 @@
     let kind = Kind::Stream { is_resumable: true };
     let routes = (0..3).map(|n| prioritized(&format!("/{n}/"), kind, n));
     let instances = upstreams.iter().enumerate();
-    let instances = instances.map(|(n, address)| match instance(n, *address) {
+    let instances = instances.map(|(n, address)| match instance(n, *address, 1) {
         Record::Instance(mut instance) => {
             instance.layers[0].model = format!("m-{n}").as_str().into();
             Record::Instance(instance)
@@ -377,10 +402,13 @@
     let clock = Arc::new(Manual(AtomicU64::new(0)));
     let entries = (0..entries).map(entry);
     let records = routes.chain(instances).chain(entries).collect();
-    (control_of(records, vec!["s".into()], clock.clone()), clock)
+    (
+        control_with(records, vec!["s".into()], clock.clone()),
+        clock,
+    )
 }
 
-fn control_of(
+fn control_with(
     records: Vec<Record>,
     shared: Vec<name::Service>,
     clock: Arc<dyn Clock>,
@@ -438,13 +466,16 @@
     ) -> Self {
         let clock = control.clock.clone();
         let grace = Grace {
-            seen: Duration::from_secs(8),
-            unseen: Duration::from_secs(1),
+            seen: GRACE,
+            unseen: GRACE,
         };
         let regions = HashMap::from([("z".into(), "r".into())]);
         let rng = StdRng::seed_from_u64(1);
+        let placer = Placer::new("z".into(), regions, grace, rng, Instant::ZERO)
+            .with_version_margin(VERSION_MARGIN)
+            .with_drain(DRAIN);
         let site = Site::new(Given {
-            placer: Placer::new("z".into(), regions, grace, rng, Instant::ZERO).with_drain(DRAIN),
+            placer,
             clock,
             state: control.clone(),
             reports: control.clone(),
