Pass on no answer without an id and a seal

Change: an answer that names no request and bears no seal is a lost attempt whatever its status. It is tried elsewhere where that is allowed, and else reported as 502. A refusal of a request without an id can name none and is believed as before.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -195,11 +195,17 @@
 ) -> Outcome {
     let is_foreign = reply.id.is_some() && reply.id != outgoing.ask.id;
     let is_unnamed = reply.id.is_none() && outgoing.ask.id.is_some();
+    // An instance can't name a request without an id when it refuses it, and seals only what ran.
+    let is_unsigned = reply.id.is_none() && !reply.is_sealed && (is_unnamed || !reply.is_not_run);
     let is_success = head.status.is_success();
     let is_refusal = reply.is_not_run && head.status != StatusCode::BAD_REQUEST;
     let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
     match () {
         () if is_foreign => Outcome::Lost("an answer to another request came".to_owned()),
+        // The address may belong to a server that is no instance, and its 404 is not the caller's.
+        () if is_unsigned => {
+            Outcome::Lost("an answer that names no request and bears no seal came".to_owned())
+        }
         // Without an id nobody can say whose answer it is.
         () if is_unnamed && (is_success || is_refusal || connection.is_reused) => {
             Outcome::Lost("an answer that names no request came".to_owned())
--- a/crates/relay/tests/whole/attempts.rs
+++ b/crates/relay/tests/whole/attempts.rs
@@ -11,6 +11,10 @@
 const FOREIGN_REFUSAL: &str =
     "HTTP/1.1 503 No\r\nid: other\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
 const FAILED: &str = "HTTP/1.1 500 Bad\r\nid: q\r\nseal: 7\r\ncontent-length: 3\r\n\r\nbad";
+/// A server that is no instance answers so.
+const STRANGE: &str = "HTTP/1.1 404 Not Found\r\ncontent-length: 13\r\n\r\nno such page\n";
+const STRANGE_FAILURE: &str = "HTTP/1.1 500 Bad\r\ncontent-length: 3\r\n\r\nbad";
+const STRANGE_REDIRECTION: &str = "HTTP/1.1 302 Found\r\nlocation: /x\r\ncontent-length: 0\r\n\r\n";
 const GARBAGE: &str = "what?\r\n\r\n";
 const NOTHING: &str = "";
 
@@ -28,6 +32,9 @@
         ("/again/", UNSEALED, "200", 2),
         ("/again/", SHORT, "200", 2),
         ("/again/", GARBAGE, "200", 2),
+        ("/again/", STRANGE, "200", 2),
+        ("/again/", STRANGE_FAILURE, "200", 2),
+        ("/again/", STRANGE_REDIRECTION, "200", 2),
         ("/again/", FAILED, "200", 2),
         ("/once/", GOOD, "200", 1),
         ("/once/", NOT_RUN, "200", 2),
@@ -38,6 +45,9 @@
         ("/once/", UNSEALED, "502", 1),
         ("/once/", SHORT, "502", 1),
         ("/once/", GARBAGE, "502", 1),
+        ("/once/", STRANGE, "502", 1),
+        ("/once/", STRANGE_FAILURE, "502", 1),
+        ("/once/", STRANGE_REDIRECTION, "502", 1),
         ("/once/", FAILED, "500", 1),
         ("/elsewhere/", GOOD, "404", 0),
     ];
@@ -62,6 +72,39 @@
     });
 }
 
+/// Fails where a caller without an id gets the answer of a server that is no instance, or does not
+/// get an instance's own word, which can name no id.
+#[test]
+fn a_request_without_an_id_gets_only_an_instances_answers() {
+    let cases = [
+        (STRANGE, "502"),
+        (STRANGE_FAILURE, "502"),
+        (
+            "HTTP/1.1 200 OK\r\nseal: 1\r\ncontent-length: 0\r\n\r\n",
+            "200",
+        ),
+        (
+            "HTTP/1.1 500 Bad\r\nseal: 1\r\ncontent-length: 0\r\n\r\n",
+            "500",
+        ),
+        (
+            "HTTP/1.1 400 Bad\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n",
+            "400",
+        ),
+        (UNNAMED_REFUSAL, "503"),
+    ];
+    run(async {
+        for (answer, status) in cases {
+            let upstream = Upstream::start(&[answer]).await;
+            let relay = Relay::start(&[upstream.address]);
+            let request = "GET /once/ HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+            let got = relay.send_raw(request).await;
+            let line = format!("HTTP/1.1 {status}");
+            assert!(got.starts_with(&line), "{answer:?}: {got}");
+        }
+    });
+}
+
 /// Fails where connections of requests that may not run twice are kept: nobody used them, and
 /// instances reset new connections beyond their limit, so that a third of such requests were lost.
 #[test]
