--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod listing;
 pub mod load;
 pub mod membership;
+pub mod memory;
 pub mod notice;
 pub mod orders;
 pub mod owner;
--- a/crates/policy/src/sse.rs
+++ b/crates/policy/src/sse.rs
@@ -109,6 +109,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// How many bytes are buffered.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether an incomplete event is buffered.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
