Keep an entry within the memory of its machine

Connections, requests, bodies by their announced length or as they grow, whole answers and events take from it. A body that does not fit is refused before it is read: 503 with Retry-After, and the connection ends after what the caller still sends was dropped for at most 1 s, so that it sees the answer. A body that is not whole within the caller's deadline or the route's timeout gets 408. Answers lost for lack of memory are not blamed on instances. The budget shows as gypsum_relay_memory_bytes and gypsum_relay_memory_refusals.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use derive_more::Display;
 use http::{Response, StatusCode, header};
+use policy::memory::Short;
 
 use crate::body::{self, Body};
 
@@ -16,6 +17,16 @@
 const UNKNOWN_RETRY: RangeInclusive<Duration> =
     Duration::from_millis(1_500)..=Duration::from_millis(2_500);
 
+/// When to come again to an entry whose memory is short: bodies that wait have been sent to
+/// instances by then. Drawn so that not all come at once.
+const SHORT_RETRY: RangeInclusive<Duration> =
+    Duration::from_millis(500)..=Duration::from_millis(1_500);
+
+/// Marks an answer that is given before the request was read. The rest of it is not wanted, and its
+/// connection ends.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Unread;
+
 /// Why a request gets no instance's answer.
 #[derive(Clone, Debug, PartialEq, Eq, Display)]
 pub enum Failure {
@@ -40,6 +51,17 @@
         /// The limit.
         limit: u32,
     },
+    /// Memory is short; nothing of it ran.
+    #[display("{reason}")]
+    Short {
+        /// How short.
+        reason: String,
+        /// When to come again.
+        retry: Duration,
+    },
+    /// The body did not come in time; nothing of it ran.
+    #[display("the body did not come in time")]
+    Slow,
     /// No instance takes it now; it did not run.
     #[display("{reason}")]
     Refused {
@@ -66,13 +88,22 @@
         Self::Unknown { retry }
     }
 
-    /// The status that says so. 503 promises that the request did not run; 502 and 504 promise
-    /// nothing.
+    /// [`Self::Short`], with a time to come again.
+    pub fn short(short: &Short) -> Self {
+        Self::Short {
+            reason: short.to_string(),
+            retry: rand::random_range(SHORT_RETRY),
+        }
+    }
+
+    /// The status that says so. 503 and 408 promise that the request did not run; 502 and 504
+    /// promise nothing.
     pub fn status(&self) -> StatusCode {
         match self {
-            Self::Unknown { .. } | Self::Stale | Self::Refused { .. } => {
+            Self::Unknown { .. } | Self::Stale | Self::Refused { .. } | Self::Short { .. } => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
+            Self::Slow => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
@@ -83,7 +114,9 @@
 
     fn retry(&self) -> Option<Duration> {
         match self {
-            Self::Unknown { retry } | Self::Refused { retry, .. } => Some(*retry),
+            Self::Unknown { retry } | Self::Refused { retry, .. } | Self::Short { retry, .. } => {
+                Some(*retry)
+            }
             Self::Stale => Some(STALE_RETRY),
             _ => None,
         }
@@ -99,6 +132,12 @@
             header::CONTENT_TYPE,
             header::HeaderValue::from_static("text/plain"),
         );
+        if matches!(self, Self::Short { .. } | Self::Slow | Self::TooLong { .. }) {
+            let close = header::HeaderValue::from_static("close");
+            headers.insert(header::CONNECTION, close);
+            response.extensions_mut().insert(Unread);
+        }
+        let headers = response.headers_mut();
         if let Some(retry) = self.retry() {
             let seconds = format!("{:.3}", retry.as_secs_f64());
             if let Ok(value) = seconds.parse() {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -5,8 +5,7 @@
 use bytes::Bytes;
 use domain::{clock::Instant, name, routing};
 use http::{HeaderMap, Request, Response, Uri, header, request, response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use peer::uplink::Feed;
 use policy::{
     admission::Timeliness,
@@ -26,7 +25,8 @@
     pool,
     site::{Site, Turn},
     stream::{Pump, Reader},
-    whole,
+    upload,
+    whole::{self, Fault},
 };
 
 /// Attempts that could not even be sent don't count as attempts, up to this many.
@@ -95,8 +95,13 @@
     let id = ask.id.as_deref().map(Rc::from);
     let mut trace = Trace::new(site.clone(), id);
     trace.parts = ask.parts.clone();
+    match upload::begin(&site, &head.headers) {
+        Ok(memory) => trace.memory = Some(memory),
+        Err(failure) => return Ok(refuse(&mut trace, &failure)),
+    }
     let limit = site.limits().body_bytes;
-    let body = match read(body, limit).await {
+    let time = upload::time(&site, &head, host(&head), &ask);
+    let body = match upload::read(&site, body, limit, time).await {
         Ok(body) => body,
         Err(Some(failure)) => return Ok(refuse(&mut trace, &failure)),
         Err(None) => return Err(Broken),
@@ -133,18 +138,6 @@
     failure.response()
 }
 
-async fn read(body: Incoming, limit: u32) -> Result<Bytes, Option<Failure>> {
-    // A length that is announced need not be waited for.
-    if body.size_hint().lower() > u64::from(limit) {
-        return Err(Some(Failure::TooLong { limit }));
-    }
-    match Limited::new(body, limit as usize).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Some(Failure::TooLong { limit })),
-        Err(_) => Err(None),
-    }
-}
-
 struct Resolved {
     route: Arc<routing::Route>,
     service: name::Service,
@@ -531,7 +524,7 @@
     };
     let left = outgoing.deadline.since(site.now());
     if outgoing.kind.is_stream() && answered.head.status.is_success() {
-        let mut reader = Reader::new(&answered.head, outgoing.ask.last_event);
+        let mut reader = Reader::new(&site.memory, &answered.head, outgoing.ask.last_event);
         let first = time::timeout(left, reader.events(&mut answered.body)).await;
         return match first {
             Ok(Ok(Some(first))) => {
@@ -545,10 +538,11 @@
                 turn.lose();
                 Err(unknown("the stream ended without an event".to_owned()))
             }
-            Ok(Err(reason)) => {
+            Ok(Err(Fault::Broken(reason))) => {
                 turn.lose();
                 Err(unknown(reason))
             }
+            Ok(Err(Fault::Short(short))) => Err(unknown(short.to_string())),
             Err(_) => Err(unknown("no event until the deadline".to_owned())),
         };
     }
@@ -558,12 +552,13 @@
         connection,
         ..
     } = *answered;
-    let bytes = match time::timeout(left, whole::read(&site.kept, body)).await {
+    let bytes = match time::timeout(left, whole::take(&site.memory, body)).await {
         Ok(Ok(bytes)) => bytes,
-        Ok(Err(reason)) => {
+        Ok(Err(Fault::Broken(reason))) => {
             turn.lose();
             return Err(unknown(reason));
         }
+        Ok(Err(Fault::Short(short))) => return Err(unknown(short.to_string())),
         Err(_) => return Err(unknown("no whole answer until the deadline".to_owned())),
     };
     let lifetime = pool::lifetime(&head.headers);
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -5,6 +5,7 @@
 use http::{HeaderValue, Request, Response, Version, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use policy::memory::{Grant, Use};
 use slog::{debug, info, warn};
 use socket2::SockRef;
 use tokio::{
@@ -13,7 +14,13 @@
     task, time,
 };
 
-use crate::{call, site::Site, socket::Socket};
+use crate::{
+    answer::Unread,
+    body::Broken,
+    call,
+    site::Site,
+    socket::{Signals, Socket},
+};
 
 /// Connections that wait to be accepted; more of them are turned away by the kernel.
 const BACKLOG: u32 = 1_024;
@@ -103,12 +110,26 @@
         }
     }
 
+    /// Takes the memory of the next connection. Connections that come while there is none wait at
+    /// the kernel.
+    async fn room(&self) -> Grant {
+        let bytes = buffer_bytes(self.site.limits().header_bytes);
+        loop {
+            match self.site.memory.take(Use::Connection, bytes) {
+                Ok(grant) => return grant,
+                Err(short) => self.site.journal.short(&short, self.site.now()),
+            }
+            time::sleep(ACCEPT_PAUSE).await;
+        }
+    }
+
     async fn accept(&self) {
         loop {
+            let room = self.room().await;
             match self.listener.accept().await {
                 Ok((stream, peer)) => {
                     let closing = self.closing.subscribe();
-                    task::spawn_local(serve(self.site.clone(), stream, peer, closing));
+                    task::spawn_local(serve(self.site.clone(), stream, peer, closing, room));
                 }
                 Err(error) => {
                     warn!(self.site.journal.logger(), "relay: could not accept";
@@ -125,6 +146,7 @@
     stream: TcpStream,
     peer: SocketAddr,
     mut closing: watch::Receiver<bool>,
+    _room: Grant,
 ) {
     let prepared = stream
         .set_nodelay(true)
@@ -138,15 +160,20 @@
     let idle = Duration::from_millis(limits.idle_timeout_ms.into()) + IDLE_MARGIN;
     let shared = site.clone();
     let is_old = Rc::new(Cell::new(false));
-    let is_broken = Rc::new(Cell::new(false));
-    let socket = Socket::new(stream, is_broken.clone());
+    let signals = Rc::new(Signals::default());
+    let socket = Socket::new(stream, signals.clone());
+    let told = signals.clone();
     let version = is_old.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let site = shared.clone();
+        let told = told.clone();
         version.set(request.version() == Version::HTTP_10);
         async move {
             let answered = call::handle(site.clone(), request).await;
-            answered.map(|response| with_close(&site, response))
+            let response = with_close(&site, answered?);
+            let extensions = response.extensions();
+            told.is_unread.set(extensions.get::<Unread>().is_some());
+            Ok::<_, Broken>(response)
         }
     });
     let connection = http1::Builder::new()
@@ -165,7 +192,8 @@
     };
     if let Err(error) = ended {
         // Such a caller knows no other sign of the end than that of the connection.
-        is_broken.set(is_old.get());
+        let is_broken = signals.is_broken.get() || is_old.get();
+        signals.is_broken.set(is_broken);
         debug!(site.journal.logger(), "relay: connection ended"; "peer" => %peer,
             "reason" => %error);
     }
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use domain::{clock::Instant, name};
+use policy::memory::{Grant, Short};
 use slog::{Logger, info, warn};
 use telemetry::budget::{Budget, Class, Rate};
 
@@ -39,6 +40,13 @@
         &self.logger
     }
 
+    /// Tells that memory is short for what has no line of its own.
+    pub(crate) fn short(&self, short: &Short, now: Instant) {
+        if let Some(omitted) = self.admit(Class::Failure, now) {
+            warn!(self.logger, "relay: {}", short; "omitted" => omitted);
+        }
+    }
+
     fn admit(&self, class: Class, now: Instant) -> Option<u64> {
         let now = Duration::from_nanos(now.as_nanos());
         self.budget.borrow_mut().admit(class, now)
@@ -77,6 +85,8 @@
     pub steps: Vec<String>,
     /// When the first byte of the answer came.
     pub first_at: Option<Instant>,
+    /// The memory of the request.
+    pub(crate) memory: Option<Grant>,
     end: Option<End>,
 }
 
@@ -95,6 +105,7 @@
             parts: Arc::default(),
             steps: Vec::new(),
             first_at: None,
+            memory: None,
             end: None,
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod site;
 mod socket;
 mod stream;
+mod upload;
 pub mod whole;
 pub mod witness;
--- a/crates/relay/src/meters.rs
+++ b/crates/relay/src/meters.rs
@@ -7,6 +7,7 @@
     KeyValue,
     metrics::{Counter, Gauge, Histogram, Meter},
 };
+use policy::memory::{Memory, Use};
 use telemetry::{labels::Labels, metrics::LATENCY_SECONDS};
 
 /// The instruments.
@@ -19,6 +20,8 @@
     crashes: Counter<u64>,
     running: Gauge<u64>,
     age_seconds: Gauge<f64>,
+    memory_bytes: Gauge<u64>,
+    memory_refusals: Gauge<u64>,
     routes: Labels,
     customers: Labels,
 }
@@ -66,6 +69,14 @@
                 .f64_gauge("gypsum_relay_state_age_seconds")
                 .with_description("The age of the state; -1: never confirmed")
                 .build(),
+            memory_bytes: meter
+                .u64_gauge("gypsum_relay_memory_bytes")
+                .with_description("Bytes of the memory budget that are in use, by use")
+                .build(),
+            memory_refusals: meter
+                .u64_gauge("gypsum_relay_memory_refusals")
+                .with_description("How often memory was refused since the start, by use")
+                .build(),
             routes: Labels::new(),
             customers: Labels::new(),
         }
@@ -112,6 +123,16 @@
         self.crashes.add(1, &[service]);
     }
 
+    /// Shows how the memory budget is used.
+    pub fn show_memory(&self, memory: &Memory) {
+        for wanted in Use::ALL {
+            let label = [KeyValue::new("use", wanted.to_string())];
+            let held = memory.held_for(wanted);
+            self.memory_bytes.record(held as u64, &label);
+            self.memory_refusals.record(memory.refused(wanted), &label);
+        }
+    }
+
     /// Shows how the relay stands.
     pub fn show(&self, running: u32, age: Option<Duration>) {
         self.running.record(running.into(), &[]);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use policy::memory::{Memory, Use};
 use socket2::SockRef;
 use tokio::{net::TcpStream, time};
 
@@ -44,15 +45,16 @@
 }
 
 /// Idle connections by instance.
-#[derive(Default)]
 pub struct Pool {
+    memory: Memory,
     idle: RefCell<HashMap<name::Instance, Vec<Idle>>>,
 }
 
 impl Pool {
     /// A pool without connections.
-    pub fn new() -> Rc<Self> {
-        Rc::default()
+    pub fn new(memory: Memory) -> Rc<Self> {
+        let idle = RefCell::default();
+        Rc::new(Self { memory, idle })
     }
 
     /// An idle connection, the one that was used last.
@@ -71,8 +73,11 @@
     ///
     /// # Errors
     ///
-    /// If the instance can't be reached in time.
+    /// If the instance can't be reached in time, or memory is short.
     pub async fn open(&self, address: SocketAddr) -> io::Result<Connection> {
+        // A request that was let in needs it for its answer.
+        let taken = self.memory.take(Use::Answer, READ_BUFFER_BYTES);
+        let grant = taken.map_err(io::Error::other)?;
         let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
@@ -84,6 +89,7 @@
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         // Its end shows in the requests that it carries.
         tokio::task::spawn_local(async move {
+            let _grant = grant;
             let _ = connection.await;
         });
         Ok(Connection {
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -18,7 +18,7 @@
 use peer::uplink::{Client, Feed};
 use policy::{
     crash::SURVIVAL,
-    kept::Kept,
+    memory::Memory,
     notice::{Change, Notice},
     placement::{Choice, Placer},
     retry::Budget,
@@ -35,7 +35,6 @@
     journal::Journal,
     meters::Meters,
     pool::{Connection, Pool},
-    whole,
     witness::{Reports, Witness},
 };
 
@@ -65,6 +64,8 @@
     pub retry_percent: u32,
     /// How many more requests all entries together may send again within the retry window.
     pub retry_slack: u32,
+    /// How much memory requests, answers and connections may take, in bytes.
+    pub memory: usize,
 }
 
 /// What a relay is given.
@@ -101,8 +102,8 @@
     pub bounds: Bounds,
     /// Leave to run, by service.
     pub gate: Gate,
-    /// How much of unfinished answers is kept.
-    pub(crate) kept: Kept,
+    /// The memory budget of the process.
+    pub memory: Memory,
     clock: Arc<dyn Clock>,
     state: Rc<dyn State>,
     /// What is known of crashes.
@@ -121,14 +122,15 @@
 impl Site {
     /// A relay that has seen nothing yet.
     pub fn new(given: Given) -> Rc<Self> {
+        let memory = Memory::new(given.bounds.memory);
         Rc::new(Self {
             dialect: given.dialect,
-            pool: Pool::new(),
+            pool: Pool::new(memory.clone()),
             journal: Journal::new(given.logger),
             meters: Meters::new(&given.meter),
             bounds: given.bounds,
             gate: Gate::default(),
-            kept: whole::kept(),
+            memory,
             clock: given.clock,
             state: given.state,
             witness: Witness::new(given.reports),
@@ -355,6 +357,7 @@
             self.pool
                 .sweep(now, |id| feed.view.instances.contains_key(id));
             self.meters.show(self.running(), feed.bound.age(now));
+            self.meters.show_memory(&self.memory);
         }
     }
 }
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -1,11 +1,12 @@
-//! A caller's connection that can end with a reset.
+//! A caller's connection: it can end with a reset, and it lets a caller that still sends see an
+//! early answer.
 
 use std::{
     cell::Cell,
     io,
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -13,25 +14,66 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    time::{self, Sleep},
 };
 
-/// A connection that ends with a reset if it is told so, so that an answer whose end is that of
-/// the connection can't be taken for whole.
+/// How long the rest of a request is discarded after an answer that was given before it was read.
+/// Without that, the kernel resets the connection, and a caller that still sends may lose the
+/// answer.
+const LINGER: Duration = Duration::from_secs(1);
+/// How much is discarded at once, in bytes.
+const DISCARD_BYTES: usize = 16 * 1024;
+
+/// What the requests on a connection say of it.
+#[derive(Debug, Default)]
+pub(crate) struct Signals {
+    /// Whether it ends with a reset, so that an answer whose end is that of the connection can't be
+    /// taken for whole.
+    pub(crate) is_broken: Cell<bool>,
+    /// Whether the last answer was given before its request was read.
+    pub(crate) is_unread: Cell<bool>,
+}
+
+/// A caller's connection.
 pub(crate) struct Socket {
     stream: TcpStream,
-    is_broken: Rc<Cell<bool>>,
+    signals: Rc<Signals>,
+    /// Runs while the rest of a request is discarded.
+    lingers: Option<Pin<Box<Sleep>>>,
 }
 
 impl Socket {
-    /// Takes a connection, and whether it ends with a reset.
-    pub(crate) fn new(stream: TcpStream, is_broken: Rc<Cell<bool>>) -> Self {
-        Self { stream, is_broken }
+    /// Takes a connection.
+    pub(crate) fn new(stream: TcpStream, signals: Rc<Signals>) -> Self {
+        Self {
+            stream,
+            signals,
+            lingers: None,
+        }
+    }
+
+    /// Reads and drops what the caller still sends, for a while.
+    fn discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let lingers = self
+            .lingers
+            .get_or_insert_with(|| Box::pin(time::sleep(LINGER)));
+        if lingers.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(());
+        }
+        let mut part = [0; DISCARD_BYTES];
+        loop {
+            let mut buffer = ReadBuf::new(&mut part);
+            let read = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buffer));
+            if read.is_err() || buffer.filled().is_empty() {
+                return Poll::Ready(());
+            }
+        }
     }
 }
 
 impl Drop for Socket {
     fn drop(&mut self) {
-        if self.is_broken.get() {
+        if self.signals.is_broken.get() {
             // A socket that takes no options is closed already.
             let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
         }
@@ -74,6 +116,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        if self.signals.is_unread.get() {
+            ready!(self.discard(cx));
+        }
+        Poll::Ready(Ok(()))
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use policy::{
+    memory::{Grant, Memory, Use},
     placement::Choice,
     sse::{Ids, Splitter, Verdict},
 };
@@ -23,6 +24,7 @@
     journal::End,
     pool::{self, Connection},
     site::{Presence, Turn},
+    whole::Fault,
 };
 
 /// A stream that may be resumed goes on at another instance after so long a silence. Callers
@@ -40,11 +42,14 @@
     is_framed: bool,
     /// Whether an event came.
     has_event: bool,
+    memory: Memory,
+    /// The memory of what is kept of an incomplete event.
+    kept: Grant,
 }
 
 impl Reader {
     /// A reader of the answer with the given head, which goes on after the given event.
-    pub(crate) fn new(head: &response::Parts, last: Option<u64>) -> Self {
+    pub(crate) fn new(memory: &Memory, head: &response::Parts, last: Option<u64>) -> Self {
         let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
             || head.headers.contains_key(header::TRANSFER_ENCODING);
         Self {
@@ -52,6 +57,8 @@
             ids: Ids::new(last),
             is_framed,
             has_event: false,
+            memory: memory.clone(),
+            kept: memory.none(Use::Answer),
         }
     }
 
@@ -66,11 +73,16 @@
     /// # Errors
     ///
     /// Why the stream can't be followed further.
-    pub(crate) async fn events(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, String> {
+    pub(crate) async fn events(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
         loop {
-            let events = self.take()?;
+            let events = self.take().map_err(Fault::Broken)?;
+            let partial = self.splitter.buffered();
+            self.kept.resize(partial).map_err(Fault::Short)?;
             if !events.is_empty() {
-                return Ok(Some(events));
+                // They are counted until the caller's connection has taken them.
+                let taken = self.memory.take(Use::Answer, events.len());
+                let grant = taken.map_err(Fault::Short)?;
+                return Ok(Some(grant.cover(events)));
             }
             match body.frame().await {
                 Some(Ok(frame)) => {
@@ -78,8 +90,10 @@
                         self.splitter.push(&data);
                     }
                 }
-                Some(Err(error)) => return Err(attempt::describe(&error)),
-                None if self.splitter.is_partial() => return Err("an event broke off".to_owned()),
+                Some(Err(error)) => return Err(Fault::Broken(attempt::describe(&error))),
+                None if self.splitter.is_partial() => {
+                    return Err(Fault::Broken("an event broke off".to_owned()));
+                }
                 None => return Ok(None),
             }
         }
@@ -124,6 +138,8 @@
     Events(Bytes),
     End,
     Fault(String),
+    /// Memory is short, which says nothing of the instance.
+    Short(String),
     Silence,
 }
 
@@ -180,6 +196,7 @@
                     self.finish();
                     return None;
                 }
+                Next::Short(reason) => return self.break_off(reason),
                 Next::Fault(reason) => {
                     let id = self.choice.instance.id.clone();
                     let now = self.now();
@@ -222,7 +239,8 @@
             }
             Ok(Ok(None)) if self.reader.is_whole() => Next::End,
             Ok(Ok(None)) => Next::Fault("the stream ended without an event".to_owned()),
-            Ok(Err(reason)) => Next::Fault(reason),
+            Ok(Err(Fault::Broken(reason))) => Next::Fault(reason),
+            Ok(Err(Fault::Short(short))) => Next::Short(short.to_string()),
             Err(_) => Next::Silence,
         }
     }
@@ -286,7 +304,7 @@
     fn go_on(&mut self, answered: Answered, turn: Turn, choice: Choice, last: Option<u64>) {
         self.call.trace.step(&choice.instance.id, "goes on");
         self.lifetime = pool::lifetime(&answered.head.headers);
-        self.reader = Reader::new(&answered.head, last);
+        self.reader = Reader::new(&self.call.site.memory, &answered.head, last);
         self.body = answered.body;
         self.connection = Some(answered.connection);
         self.turn = Some(turn);
--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -46,6 +46,9 @@
     task::{LocalSet, spawn_local},
 };
 
+/// The memory budget of a relay, in bytes: that of the smallest machine, rounded down.
+pub(crate) const MEMORY: usize = 48_000_000;
+
 /// How long an instance that leaves may still be used.
 pub(crate) const DRAIN: Duration = Duration::from_millis(300);
 
@@ -368,6 +371,7 @@
                 ready_age: Duration::from_secs(60),
                 retry_percent: 20,
                 retry_slack: 100,
+                memory: MEMORY,
             },
             logger: telemetry::log::discard(),
             meter: NoopMeterProvider::new().meter("test"),
