End streams that their callers leave unread

Cause: while a caller does not read, nothing asks for the next event, so that the stream's deadline is not looked at. Only the kernel's limit on unacknowledged bytes, 5 s, ended such a stream. Change: a write to a caller that makes no progress for the timeout of the stream's route ends the connection with a reset, and with it the stream at its instance. Whole answers have no such bound: answers that are ready are delivered, also late. Result: two new tests of relay::memory.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -1,6 +1,6 @@
 //! Bodies of answers.
 
-use std::{convert::Infallible, pin::Pin};
+use std::{convert::Infallible, pin::Pin, time::Duration};
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -14,6 +14,11 @@
 #[display("the answer broke off")]
 pub struct Broken;
 
+/// How long the caller may leave a stream unread, kept beside the answer. A whole answer has no such
+/// bound: its instance is done with it, and a caller on a slow link may still want it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Patience(pub(crate) Duration);
+
 type Frames = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, Broken>>>>;
 
 /// The body of an answer.
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -18,7 +18,7 @@
 use crate::{
     answer::Failure,
     attempt::{self, Answered, Outcome, Outgoing},
-    body::{self, Body, Broken},
+    body::{self, Body, Broken, Patience},
     dialect::Ask,
     gate::{self, Pass},
     journal::{End, Trace},
@@ -448,7 +448,9 @@
                 response_of(&head, bytes)
             }
             Begun::Stream(answered, turn, reader, first) => {
+                let patience = Patience(Duration::from_millis(self.route.timeout_ms.into()));
                 let mut response = Response::new(body::full(Bytes::new()));
+                response.extensions_mut().insert(patience);
                 *response.status_mut() = answered.head.status;
                 *response.headers_mut() = returned(&answered.head.headers);
                 let version = answered.reply.version;
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     answer::Unread,
-    body::Broken,
+    body::{Broken, Patience},
     call,
     site::Site,
     socket::{Signals, Socket},
@@ -173,6 +173,8 @@
             let response = with_close(&site, answered?);
             let extensions = response.extensions();
             told.is_unread.set(extensions.get::<Unread>().is_some());
+            told.patience
+                .set(extensions.get().copied().map(|Patience(time)| time));
             Ok::<_, Broken>(response)
         }
     });
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -1,5 +1,5 @@
-//! A caller's connection: it can end with a reset, and it lets a caller that still sends see an
-//! early answer.
+//! A caller's connection: it can end with a reset, it ends if the caller leaves an answer unread for
+//! too long, and it lets a caller that still sends see an early answer.
 
 use std::{
     cell::Cell,
@@ -32,12 +32,16 @@
     pub(crate) is_broken: Cell<bool>,
     /// Whether the last answer was given before its request was read.
     pub(crate) is_unread: Cell<bool>,
+    /// How long the caller may leave the last answer unread, if that is bounded.
+    pub(crate) patience: Cell<Option<Duration>>,
 }
 
 /// A caller's connection.
 pub(crate) struct Socket {
     stream: TcpStream,
     signals: Rc<Signals>,
+    /// Runs while the caller does not read.
+    stalled: Option<Pin<Box<Sleep>>>,
     /// Runs while the rest of a request is discarded.
     lingers: Option<Pin<Box<Sleep>>>,
 }
@@ -48,10 +52,36 @@
         Self {
             stream,
             signals,
+            stalled: None,
             lingers: None,
         }
     }
 
+    /// Ends a write that waits for longer than the caller may leave the answer unread. What is
+    /// written waits in the library, which asks for no more of the answer in the meantime.
+    fn watch(
+        &mut self,
+        written: Poll<io::Result<usize>>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        match (&written, self.signals.patience.get()) {
+            (Poll::Pending, Some(patience)) => {
+                let stalled = self
+                    .stalled
+                    .get_or_insert_with(|| Box::pin(time::sleep(patience)));
+                ready!(stalled.as_mut().poll(cx));
+                // The instance's work for it is over too; nothing of the rest is worth sending.
+                self.signals.is_broken.set(true);
+                let reason = "the caller left the answer unread";
+                Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, reason)))
+            }
+            _ => {
+                self.stalled = None;
+                written
+            }
+        }
+    }
+
     /// Reads and drops what the caller still sends, for a while.
     fn discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let lingers = self
@@ -96,7 +126,8 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.watch(written, cx)
     }
 
     fn poll_write_vectored(
@@ -104,7 +135,8 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.watch(written, cx)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/relay/tests/memory.rs
+++ b/crates/relay/tests/memory.rs
@@ -21,7 +21,7 @@
 use policy::memory::Use;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     time,
 };
 
@@ -194,3 +194,138 @@
         assert!(next.starts_with("HTTP/1.1 200"), "{next}");
     });
 }
+
+/// A caller's connection that takes few bytes before the kernel stops the sender.
+async fn narrow(address: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(8 * 1024).unwrap();
+    socket.connect(address).await.unwrap()
+}
+
+/// Sends a request whose answer the caller leaves unread.
+async fn ask(address: SocketAddr, path: &str) -> TcpStream {
+    let mut stream = narrow(address).await;
+    let request = format!("GET {path} HTTP/1.1\r\nhost: h\r\nid: q\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Waits until something holds, or fails.
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < TIMEOUT + MARGIN, "{what}");
+        time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Fails where whole answers that callers leave unread are not counted, or stay for ever: new
+/// requests took what was left.
+#[test]
+fn whole_answers_to_slow_readers_are_bounded_and_end() {
+    const ANSWER_BYTES: usize = 4 * 1024 * 1024;
+    let _measured = MEASURED.lock();
+    run(async {
+        let relay = Relay::start(&[instance(ANSWER_BYTES).await; 20]);
+        let before = memory::reset_peak().unwrap();
+        let mut unread = Vec::new();
+        for _ in 0..40 {
+            unread.push(ask(relay.address, "/again/").await);
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        // One that reads slowly gets all of an answer that was taken in, or was told that nothing
+        // ran.
+        let mut slow = ask(relay.address, "/again/").await;
+        let mut part = vec![0; 512 * 1024];
+        let mut answer = slow.read(&mut part).await.unwrap();
+        let is_refused = part.starts_with(b"HTTP/1.1 503");
+        while let Ok(count @ 1..) = slow.read(&mut part).await {
+            answer += count;
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        assert!(is_refused || answer > ANSWER_BYTES, "{answer} bytes");
+        let growth = memory::peak().unwrap().saturating_sub(before);
+        eprintln!("GROWTH {growth}");
+        assert!(growth < MAX_GROWTH, "{growth} bytes");
+        until("unread answers end", || {
+            relay.site.memory.held() < ANSWER_BYTES
+        })
+        .await;
+        let next = relay.send("/again/").await;
+        assert!(next.starts_with("HTTP/1.1 200"), "{} bytes", next.len());
+        drop(unread);
+    });
+}
+
+/// An instance that sends events for as long as its answer is read. `sent` counts the bytes of all
+/// its answers, and `open` those that go on.
+async fn streaming(sent: Rc<Cell<usize>>, open: Rc<Cell<usize>>) -> SocketAddr {
+    listen(move |mut stream| {
+        let (sent, open) = (sent.clone(), open.clone());
+        async move {
+            if read_head(&mut stream).await.is_none() {
+                return;
+            }
+            open.set(open.get() + 1);
+            let head = "HTTP/1.1 200 OK\r\nid: q\r\nseal: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+            let mut written = stream.write_all(head.as_bytes()).await;
+            for number in 1.. {
+                if written.is_err() {
+                    break;
+                }
+                let event = format!("id: {number}\ndata: {}\n\n", "x".repeat(1_000));
+                let chunk = format!("{:X}\r\n{event}\r\n", event.len());
+                written = stream.write_all(chunk.as_bytes()).await;
+                sent.set(sent.get() + chunk.len());
+            }
+            open.set(open.get() - 1);
+        }
+    })
+    .await
+}
+
+/// Reads a little of an answer now and then.
+async fn sip(mut stream: TcpStream) {
+    let mut part = [0; 4 * 1024];
+    while let Ok(1..) = stream.read(&mut part).await {
+        time::sleep(Duration::from_millis(300)).await;
+    }
+}
+
+/// Fails where a stream is read from its instance faster than its caller reads it, or goes on for
+/// ever because nothing asks for its next event.
+#[test]
+fn streams_to_slow_readers_stop_and_end() {
+    const CALLERS: usize = 20;
+    let _measured = MEASURED.lock();
+    for reads in [false, true] {
+        run(async move {
+            let (sent, open) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+            let relay = Relay::start(&[streaming(sent.clone(), open.clone()).await; CALLERS]);
+            let before = memory::reset_peak().unwrap();
+            let asked = (0..CALLERS).map(|_| ask(relay.address, "/stream/"));
+            let unread = future::join_all(asked).await;
+            until("every stream begins", || open.get() == CALLERS).await;
+            // The kernel's buffers fill up, and then hardly anything moves.
+            let mut known = 0;
+            until("streams stop", || {
+                sent.get() - std::mem::replace(&mut known, sent.get()) < 10_000
+            })
+            .await;
+            let growth = memory::peak().unwrap().saturating_sub(before);
+            eprintln!("GROWTH {growth}, {} bytes sent", sent.get());
+            assert!(growth < MAX_GROWTH, "{growth} bytes");
+            let ended = async {
+                until("streams end", || open.get() == 0).await;
+                until("requests end", || relay.site.running() == 0).await;
+            };
+            match reads {
+                true => {
+                    drop(future::join(ended, future::join_all(unread.into_iter().map(sip))).await)
+                }
+                false => ended.await,
+            }
+            assert_eq!(relay.site.memory.held_for(Use::Request), 0);
+        });
+    }
+}
