--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -5,8 +5,7 @@
 use bytes::Bytes;
 use domain::{clock::Instant, load::Priority, name, routing};
 use http::{HeaderMap, Request, Response, Uri, header, request, response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use peer::uplink::Feed;
 use policy::{
     admission::Timeliness,
@@ -19,14 +18,15 @@
 use crate::{
     answer::Failure,
     attempt::{self, Answered, Outcome, Outgoing},
-    body::{self, Body, Broken},
+    body::{self, Body, Broken, Patience},
     dialect::Ask,
     gate::{self, Permit, shared},
     journal::{End, Trace},
     pool,
     site::{Site, Turn},
     stream::{Pump, Reader},
-    whole,
+    upload,
+    whole::{self, Fault},
 };
 
 /// Attempts that could not even be sent don't count as attempts, up to this many.
@@ -102,8 +102,13 @@
     let id = ask.id.as_deref().map(Rc::from);
     let mut trace = Trace::new(site.clone(), id);
     trace.parts = ask.parts.clone();
+    match upload::begin(&site, &head.headers) {
+        Ok(memory) => trace.memory = Some(memory),
+        Err(failure) => return Ok(refuse(&mut trace, &failure)),
+    }
     let limit = site.limits().body_bytes;
-    let body = match read(body, limit).await {
+    let time = upload::time(&site, &head, host(&head), &ask);
+    let body = match upload::read(&site, body, limit, time).await {
         Ok(body) => body,
         Err(Some(failure)) => return Ok(refuse(&mut trace, &failure)),
         Err(None) => return Err(Broken),
@@ -143,18 +148,6 @@
     failure.response()
 }
 
-async fn read(body: Incoming, limit: u32) -> Result<Bytes, Option<Failure>> {
-    // A length that is announced need not be waited for.
-    if body.size_hint().lower() > u64::from(limit) {
-        return Err(Some(Failure::TooLong { limit }));
-    }
-    match Limited::new(body, limit as usize).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Some(Failure::TooLong { limit })),
-        Err(_) => Err(None),
-    }
-}
-
 struct Resolved {
     route: Arc<routing::Route>,
     service: name::Service,
@@ -536,7 +529,9 @@
                 response_of(&head, bytes)
             }
             Begun::Stream(answered, turn, reader, first) => {
+                let patience = Patience(Duration::from_millis(self.route.timeout_ms.into()));
                 let mut response = Response::new(body::full(Bytes::new()));
+                response.extensions_mut().insert(patience);
                 *response.status_mut() = answered.head.status;
                 *response.headers_mut() = returned(&answered.head.headers);
                 let version = answered.reply.version;
@@ -631,7 +626,7 @@
     };
     let left = outgoing.deadline.since(site.now());
     if outgoing.kind.is_stream() && answered.head.status.is_success() {
-        let mut reader = Reader::new(&answered.head, outgoing.ask.last_event);
+        let mut reader = Reader::new(&site.memory, &answered.head, outgoing.ask.last_event);
         let first = time::timeout(left, reader.events(&mut answered.body)).await;
         return match first {
             Ok(Ok(Some(first))) => {
@@ -645,10 +640,11 @@
                 turn.lose();
                 Err(unknown("the stream ended without an event".to_owned()))
             }
-            Ok(Err(reason)) => {
+            Ok(Err(Fault::Broken(reason))) => {
                 turn.lose();
                 Err(unknown(reason))
             }
+            Ok(Err(Fault::Short(short))) => Err(unknown(short.to_string())),
             Err(_) => Err(unknown("no event until the deadline".to_owned())),
         };
     }
@@ -658,12 +654,13 @@
         connection,
         ..
     } = *answered;
-    let bytes = match time::timeout(left, whole::read(&site.kept, body)).await {
+    let bytes = match time::timeout(left, whole::take(&site.memory, body)).await {
         Ok(Ok(bytes)) => bytes,
-        Ok(Err(reason)) => {
+        Ok(Err(Fault::Broken(reason))) => {
             turn.lose();
             return Err(unknown(reason));
         }
+        Ok(Err(Fault::Short(short))) => return Err(unknown(short.to_string())),
         Err(_) => return Err(unknown("no whole answer until the deadline".to_owned())),
     };
     let lifetime = pool::lifetime(&head.headers);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,13 +1,6 @@
 //! Connections to instances: opened with a short timeout, kept while idle, never trusted blindly.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
-    io,
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use domain::{clock::Instant, instance::Instance, name};
@@ -21,10 +14,11 @@
     },
 };
 use hyper_util::rt::TokioIo;
+use policy::memory::{Memory, Use};
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::AbortHandle, time};
 
-use crate::socket::Socket;
+use crate::socket::{Signals, Socket};
 
 /// How long opening a connection may take: a few round trips between regions, and the instance's
 /// own delay. A lost first packet is sent again only after a second, so waiting longer is vain.
@@ -56,8 +50,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// The task that owns the socket.
     task: AbortHandle,
-    /// Whether the socket ends with a reset.
-    is_broken: Rc<Cell<bool>>,
+    /// What decides how the socket ends.
+    signals: Rc<Signals>,
     /// Whether a request was sent whose answer is not complete.
     is_pending: bool,
 }
@@ -86,7 +80,7 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         if self.is_pending {
-            self.is_broken.set(true);
+            self.signals.is_broken.set(true);
             // Dropping the sender alone would let the task shut the socket down in order.
             self.task.abort();
         }
@@ -100,15 +94,16 @@
 }
 
 /// Idle connections by instance.
-#[derive(Default)]
 pub struct Pool {
+    memory: Memory,
     idle: RefCell<HashMap<name::Instance, Vec<Idle>>>,
 }
 
 impl Pool {
     /// A pool without connections.
-    pub fn new() -> Rc<Self> {
-        Rc::default()
+    pub fn new(memory: Memory) -> Rc<Self> {
+        let idle = RefCell::default();
+        Rc::new(Self { memory, idle })
     }
 
     /// An idle connection, the one that was used last.
@@ -127,27 +122,31 @@
     ///
     /// # Errors
     ///
-    /// If the instance can't be reached in time.
+    /// If the instance can't be reached in time, or memory is short.
     pub async fn open(&self, address: SocketAddr) -> io::Result<Connection> {
+        // A request that was let in needs it for its answer.
+        let taken = self.memory.take(Use::Answer, READ_BUFFER_BYTES);
+        let grant = taken.map_err(io::Error::other)?;
         let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-        let is_broken = Rc::new(Cell::new(false));
+        let signals = Rc::<Signals>::default();
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(Socket::new(stream, is_broken.clone())));
+            .handshake(TokioIo::new(Socket::new(stream, signals.clone())));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         // Its end shows in the requests that it carries.
         let task = tokio::task::spawn_local(async move {
+            let _grant = grant;
             let _ = connection.await;
         });
         Ok(Connection {
             is_reused: false,
             sender,
             task: task.abort_handle(),
-            is_broken,
+            signals,
             is_pending: false,
         })
     }
