Tell callers that come back from those with shorter deadlines, and let them use slots that nobody needs

Cause: deadlines of callers of one route differ by up to a sixth, so that half of the new requests counted as late; late requests could fill half of an engine's slots. Late requests also counted as demand and held the correction of the capacity down.

Ruled out: the exchange (sums of all zones arrive), spillover (none), the estimate of work (112 ms a request, as worked out).

Change: in services shared by priority a request is late only if it has less time left than the spread explains; a refused caller comes back after at least that time; late requests fill up to three quarters of the slots and are no demand; the capacity grows until engines have a short queue.

--- a/crates/policy/src/level.rs
+++ b/crates/policy/src/level.rs
@@ -31,9 +31,10 @@
 /// Minimum time between two adjustments of the capacity.
 const PERIOD: Duration = Duration::from_millis(250);
 /// Requests per slot above which engines have a standing queue, which only delays answers.
-const MAX_OCCUPANCY: f64 = 1.08;
-/// Requests per slot below which engines have free slots.
-const MIN_OCCUPANCY: f64 = 0.95;
+const MAX_OCCUPANCY: f64 = 1.12;
+/// Requests per slot below which engines have no standing queue. It is above the number of slots,
+/// because late requests use the slots that timely ones leave free.
+const MIN_OCCUPANCY: f64 = 1.05;
 /// Requests per slot that wait at the entries above which more is admitted than engines accept. At
 /// one answer per slot and second, each request then waits 15 ms on average, and one in twelve waits
 /// as long as the usual latency target permits.
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -63,9 +63,10 @@
 /// time. A late answer is worth a fraction of a timely one, and refused callers come back in such
 /// numbers that at the rank of their priority they would fill the slots.
 pub const LATE_RANK: u32 = 9;
-/// The part of an engine's slots that late requests may fill, in percent. They use slots that timely
-/// requests don't need.
-const LATE_PERCENT: u32 = 50;
+/// The part of an engine's slots that late requests may fill, in percent, while nobody else uses
+/// them. If they may fill nearly all of them, callers that come back take the capacity of new
+/// requests; if few, engines stand idle in part.
+const LATE_PERCENT: u32 = 75;
 /// Random engines of which the better one is chosen. Reports are up to a tenth of a second old, and
 /// entries that all chose the least loaded of all engines would overload it until its next report.
 /// If both are full, the request waits: choosing among those with room would keep all engines full.
@@ -217,7 +218,7 @@
 /// The number of requests at an engine at which it gets no further one of the given rank.
 fn occupancy_limit(slots: u32, rank: u32) -> u32 {
     match rank {
-        LATE_RANK.. => slots.saturating_mul(LATE_PERCENT) / 100,
+        LATE_RANK.. => (slots.saturating_mul(LATE_PERCENT) / 100).max(1),
         _ => slots.saturating_add(MAX_BACKLOG.saturating_sub(rank).max(MIN_BACKLOG)),
     }
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -31,6 +31,9 @@
 
 /// Attempts that could not even be sent don't count as attempts, up to this many.
 const MAX_NOT_SENT: u32 = 4;
+/// The part of their time by which the deadlines of callers of one route differ. A caller counts as
+/// one that comes back only if it has less time left than that explains.
+pub(crate) const DEADLINE_SPREAD: u32 = 6;
 /// The least time that an attempt is worth.
 const MIN_LEFT: Duration = Duration::from_millis(30);
 /// Why an attempt is given up that must not begin any more.
@@ -209,8 +212,13 @@
     }
     trace.waited = site.has_waited(route, caller_timeout);
     // A stream that is to go on has begun already.
+    let latency_target = Duration::from_millis(route.target_ms.into());
+    let late_after = match load::is_shared(view, &service) {
+        true => latency_target.max((trace.waited + caller_timeout) / DEADLINE_SPREAD),
+        false => latency_target,
+    };
     let timeliness = match ask.last_event {
-        None if trace.waited > Duration::from_millis(route.target_ms.into()) => Timeliness::Late,
+        None if trace.waited > late_after => Timeliness::Late,
         _ => Timeliness::OnTime,
     };
     let mut headers = head.headers;
--- a/crates/relay/src/gate/shared.rs
+++ b/crates/relay/src/gate/shared.rs
@@ -372,7 +372,8 @@
         return;
     };
     let request = waiter.request.clone();
-    if !request.is_subject_to_fraction() {
+    // A late request only uses slots that no timely one needs, so it is no demand.
+    if request.is_resumed() {
         let work_ms = work_ms(site, &request);
         let count = |lane: &mut Lane| lane.admitter.count(request.priority, work_ms, now);
         site.gate.shared.with(&service, count);
--- a/crates/relay/src/gate/shared/retry.rs
+++ b/crates/relay/src/gate/shared/retry.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{Reason, Request, engine};
-use crate::site::Site;
+use crate::{call::DEADLINE_SPREAD, site::Site};
 
 /// The longest delay after which a caller comes back: a third of the six seconds that callers wait.
 const MAX_RETRY: Duration = Duration::from_secs(2);
@@ -50,6 +50,8 @@
 pub fn bounds(answer: Duration, fraction: f64, left: Duration) -> Range<Duration> {
     let most = MAX_RETRY.min(left / RETRY_PART);
     let least = answer.mul_f64(2.0 - fraction.clamp(0.0, 1.0));
+    // A caller that came back earlier could not be told from one with a shorter deadline.
+    let least = least.max(left / DEADLINE_SPREAD);
     let least = least.min(most.div_f64(1.0 + RETRY_SPREAD));
     least..least.mul_f64(1.0 + RETRY_SPREAD).min(most)
 }
