Test when an agent reads and reports its engine

Cause: nothing guarded that an agent leaves its engine alone where no service is shared, or that it announces a switch.

Change: the tests of the stager cover reads and reports by whether the service is shared, figures that are missing, and the time until a switch of versions.

--- a/crates/stager/tests/versions.rs
+++ b/crates/stager/tests/versions.rs
@@ -16,15 +16,19 @@
 use domain::{
     clock::{Clock, Instant},
     digest::Digest,
+    load::{self, Content},
     name,
-    routing::{Engine as Model, Service},
+    record::Routing,
+    routing::{Engine as Model, Limits, Service},
+    vm::{Announcement, Lifecycle, Status, Upstream, Vm},
 };
 use futures::FutureExt;
-use peer::{connection::Dialer, uplink::Feed};
+use peer::{connection::Dialer, load::Node, uplink::Feed};
 use policy::{age::Bound, owner::Member, view::View};
 use stager::{
     Given, Stager,
-    port::{Answer, Engine, Error, Manifest, Origin, Report},
+    load::Reporter,
+    port::{Answer, Engine, Error, Figures, Manifest, Origin, Report},
 };
 use tokio::{sync::watch, task, time};
 
@@ -58,6 +62,12 @@
     /// Chunks that the origin spoils once.
     spoils: RefCell<BTreeSet<usize>>,
     target: Cell<u64>,
+    /// Whether the engine's service is shared by priority.
+    is_shared: Cell<bool>,
+    /// How often figures of the engine were read for load reports.
+    reads: Cell<u32>,
+    /// Whether the engine says how loaded it is.
+    has_figures: Cell<bool>,
 }
 
 impl World {
@@ -76,12 +86,22 @@
 struct Side(Rc<World>);
 
 impl Engine for Side {
-    fn report(&self, _: u32) -> Answer<'_, Report> {
+    fn report(&self, layers: u32) -> Answer<'_, Report> {
         async move {
+            // Only the reader of figures does not ask which version is served.
+            self.0
+                .reads
+                .set(self.0.reads.get() + u32::from(layers == 0));
             Ok(Report {
                 serving: vec![("m".into(), self.0.serving.get())],
                 is_busy: false,
-                figures: None,
+                figures: self.0.has_figures.get().then_some(Figures {
+                    active: 5,
+                    queued: 2,
+                    kv_used: 30,
+                    kv_total: 40,
+                    pace: 1.25,
+                }),
             })
         }
         .boxed_local()
@@ -155,7 +175,7 @@
     }
 }
 
-fn view(target: u64) -> View {
+fn view(target: u64, is_shared: bool) -> View {
     let service = |name: &str, engine, origin| Service {
         name: name.into(),
         max_connections: 8,
@@ -190,11 +210,45 @@
             .insert(service.name.clone(), Arc::new(service));
     }
     view.targets.insert("m".into(), target);
+    view.routing = Some(Routing {
+        version: 1,
+        limits: Limits::default(),
+        has_callers: false,
+        shared: is_shared.then(|| "engines".into()).into_iter().collect(),
+    });
+    view.vms.insert("entry".into(), Arc::new(entry()));
     view
 }
 
+/// The entry to which the agent reports.
+fn entry() -> Vm {
+    let address = ([127, 0, 0, 1], 2).into();
+    Vm {
+        announcement: Announcement {
+            vm: "entry".into(),
+            zone: "z".into(),
+            region: "r".into(),
+            incarnation: 1,
+            call_addr: address,
+            chunk_addr: address,
+            upstream: Upstream::Entry,
+        },
+        status: Status {
+            lifecycle: Lifecycle::Announced,
+            holdings: Default::default(),
+            fence: Default::default(),
+            limit: 0,
+        },
+    }
+}
+
 /// Runs a test with an agent beside an engine that serves version 1.
 fn run<F: Future<Output = ()>>(test: impl FnOnce(Rc<World>) -> F) {
+    run_with_load(async |world, _| test(world).await);
+}
+
+/// The same, with the agent's load reports.
+fn run_with_load<F: Future<Output = ()>>(test: impl FnOnce(Rc<World>, Rc<Reporter>) -> F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .start_paused(true)
@@ -208,6 +262,9 @@
             is_origin_up: Cell::new(true),
             spoils: RefCell::default(),
             target: Cell::new(1),
+            is_shared: Cell::new(false),
+            reads: Cell::new(0),
+            has_figures: Cell::new(true),
         });
         let clock = Arc::new(Paused(time::Instant::now()));
         let (operator, origin, now) = (world.clone(), world.clone(), clock.clone());
@@ -221,7 +278,7 @@
             clock,
             state: Rc::new(move || {
                 Arc::new(Feed {
-                    view: Arc::new(view(operator.target.get())),
+                    view: Arc::new(view(operator.target.get(), operator.is_shared.get())),
                     bound: Bound::new(now.now(), Duration::ZERO),
                 })
             }),
@@ -233,9 +290,11 @@
             limit: LIMIT,
             logger: telemetry::log::discard(),
         });
+        let reporter = Reporter::new(stager.clone(), ([127, 0, 0, 1], 3).into(), 1);
         task::spawn_local(stager.run());
+        task::spawn_local(reporter.clone().run());
         world.after(1_000).await;
-        test(world).await;
+        test(world, reporter).await;
     });
 }
 
@@ -298,3 +357,62 @@
         assert_eq!(*world.loads.borrow(), [2]);
     });
 }
+
+/// The newest report that the agent would send now.
+fn reported(reporter: &Reporter) -> Option<load::Engine> {
+    let sent = reporter.take().pop()?;
+    assert_eq!(sent.receivers, [entry().announcement.chunk_addr]);
+    match sent.report.content {
+        Content::Engine(engine) => Some(engine),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against reads of the engine and reports in deployments that don't share by priority, and
+/// against reports of old figures while the engine can't be read.
+#[test]
+fn engine_is_read_and_reported_only_while_its_service_is_shared() {
+    run_with_load(async |world, reporter| {
+        assert_eq!((world.reads.get(), reported(&reporter)), (0, None));
+        world.is_shared.set(true);
+        world.after(1_000).await;
+        let expected = load::Engine {
+            address: ([127, 0, 0, 1], 3).into(),
+            active: 5,
+            queued: 2,
+            pace_percent: 125,
+            memory_percent: 75,
+            moves_in_ms: None,
+        };
+        assert_eq!(reported(&reporter), Some(expected));
+        assert_eq!(reported(&reporter), None, "it is not due yet");
+        world.has_figures.set(false);
+        world.after(1_000).await;
+        assert_eq!(reported(&reporter), None, "there are no figures");
+        world.is_shared.set(false);
+        let reads = world.reads.get();
+        world.after(1_000).await;
+        assert!(world.reads.get() <= reads + 1);
+    });
+}
+
+/// Guards against entries that learn of a switch of versions only when the engine refuses.
+#[test]
+fn switch_of_versions_is_announced_before_it_comes() {
+    run_with_load(async |world, reporter| {
+        world.is_shared.set(true);
+        world.target.set(2);
+        let mut announced = Vec::new();
+        while world.loads.borrow().is_empty() {
+            world.after(100).await;
+            let engine = reported(&reporter);
+            announced.extend(engine.and_then(|engine| engine.moves_in_ms));
+        }
+        assert!(announced.len() > 5, "{announced:?}");
+        assert!(announced.is_sorted_by(|a, b| a >= b), "{announced:?}");
+        assert_eq!(announced.last(), Some(&0));
+        world.after(1_000).await;
+        let engine = reported(&reporter).unwrap();
+        assert_eq!(engine.moves_in_ms, None, "it is over");
+    });
+}
