--- a/crates/peer/src/load.rs
+++ b/crates/peer/src/load.rs
@@ -49,7 +49,7 @@
 /// [`Refusal::Oversized`] if it doesn't fit into a datagram, [`Refusal::Malformed`] if it has no
 /// encoding.
 pub fn encode(report: &Report) -> Result<Vec<u8>, Refusal> {
-    // Fields go without their names, which would double the size.
+    // Fields go without their names, to keep datagrams small.
     match rmp_serde::to_vec(report) {
         Ok(bytes) if bytes.len() > MAX_DATAGRAM_BYTES => Err(Refusal::Oversized),
         Ok(bytes) => Ok(bytes),
