--- a/crates/relay/src/gate/shared/demand.rs
+++ b/crates/relay/src/gate/shared/demand.rs
@@ -110,9 +110,10 @@
 fn show(site: &Rc<Site>, service: &name::Service) {
     let now = Duration::from_nanos(site.now().as_nanos());
     let shared = &site.gate.shared;
+    let spilled = site.place(|placer| placer.spilled_share(service));
     let changes = shared.with(service, |lane| {
         let factor = lane.correction.factor();
-        site.meters.show_correction(service, factor);
+        site.meters.show_capacity(service, factor, spilled);
         let mut changes = Vec::new();
         let known: BTreeSet<_> = lane.demand.keys().chain(&lane.shed).copied().collect();
         for priority in &known {
--- a/crates/relay/src/meters.rs
+++ b/crates/relay/src/meters.rs
@@ -23,6 +23,7 @@
     waiting: Gauge<u64>,
     fraction: Gauge<f64>,
     correction: Gauge<f64>,
+    spilled: Gauge<f64>,
     running: Gauge<u64>,
     age_seconds: Gauge<f64>,
     memory_bytes: Gauge<u64>,
@@ -86,6 +87,10 @@
                 .f64_gauge("gypsum_relay_capacity_correction")
                 .with_description("The factor by which the described capacity is corrected")
                 .build(),
+            spilled: meter
+                .f64_gauge("gypsum_relay_spilled_share")
+                .with_description("The part of a service's work that leaves the zone")
+                .build(),
             running: meter
                 .u64_gauge("gypsum_relay_running")
                 .with_description("Requests that are running")
@@ -173,10 +178,11 @@
         self.waiting.record(waiting as u64, &labels);
     }
 
-    /// Shows the correction of a service's capacity.
-    pub fn show_correction(&self, service: &name::Service, factor: f64) {
-        let service = KeyValue::new("service", service.to_string());
-        self.correction.record(factor, &[service]);
+    /// Shows the correction of a service's capacity, and the part of its work that leaves the zone.
+    pub fn show_capacity(&self, service: &name::Service, correction: f64, spilled: f64) {
+        let service = [KeyValue::new("service", service.to_string())];
+        self.correction.record(correction, &service);
+        self.spilled.record(spilled, &service);
     }
 
     /// Shows how the memory budget is used.
