--- a/crates/peer/src/load.rs
+++ b/crates/peer/src/load.rs
@@ -115,7 +115,7 @@
 }
 
 /// Sends and receives the reports of one process.
-pub struct Courier {
+pub struct Endpoint {
     node: Rc<dyn Node>,
     clock: Arc<dyn Clock>,
     logger: Logger,
@@ -123,8 +123,8 @@
     lines: RefCell<Budget>,
 }
 
-impl Courier {
-    /// Creates the courier of a process.
+impl Endpoint {
+    /// Creates the endpoint of a process.
     pub fn new(node: Rc<dyn Node>, clock: Arc<dyn Clock>, logger: Logger, meter: &Meter) -> Self {
         Self {
             node,
--- a/crates/peer/tests/load.rs
+++ b/crates/peer/tests/load.rs
@@ -8,7 +8,7 @@
     load::{Content, Demand, Engine, Priority, Report},
 };
 use opentelemetry::metrics::{MeterProvider, noop::NoopMeterProvider};
-use peer::load::{Courier, Node, decode, encode};
+use peer::load::{Endpoint, Node, decode, encode};
 use policy::load::exchange::{
     AGENT_FANOUT, ENGINE_PERIOD, MAX_DATAGRAM_BYTES, Outgoing, Refusal, bounded,
 };
@@ -57,16 +57,19 @@
     }
 }
 
-fn courier(
+fn endpoint(
     due: Vec<Outgoing>,
     next: Vec<SocketAddr>,
-) -> (Courier, mpsc::UnboundedReceiver<Report>) {
+) -> (Endpoint, mpsc::UnboundedReceiver<Report>) {
     let (came, reports) = mpsc::unbounded_channel();
     let due = RefCell::new(due);
     let desk = Rc::new(Desk { due, came, next });
     let logger = Logger::root(Discard, o!());
     let meter = NoopMeterProvider::new().meter("test");
-    (Courier::new(desk, Arc::new(Still), logger, &meter), reports)
+    (
+        Endpoint::new(desk, Arc::new(Still), logger, &meter),
+        reports,
+    )
 }
 
 fn report(content: Content) -> Report {
@@ -128,9 +131,9 @@
             report: report.clone(),
             receivers: vec![closed, to_second],
         });
-        let (sender, _) = courier(due.collect(), Vec::new());
-        let (middle, mut at_second) = courier(Vec::new(), vec![closed, to_third]);
-        let (last, mut at_third) = courier(Vec::new(), Vec::new());
+        let (sender, _) = endpoint(due.collect(), Vec::new());
+        let (middle, mut at_second) = endpoint(Vec::new(), vec![closed, to_third]);
+        let (last, mut at_third) = endpoint(Vec::new(), Vec::new());
         spawn_local(async move { middle.serve(second).await });
         spawn_local(async move { last.serve(third).await });
         spawn_local(async move { sender.serve(first).await });
--- a/crates/policy/src/load/exchange.rs
+++ b/crates/policy/src/load/exchange.rs
@@ -2,7 +2,7 @@
 //!
 //! It handles a fan-out that must not grow with the fleet: an agent reports to at most
 //! [`AGENT_FANOUT`] entries of its zone, an entry to at most [`ENTRY_FANOUT`] others of its zone,
-//! and [`ZONE_SPEAKERS`] entries of a zone to as many of each other zone. All of them choose by
+//! and [`ZONE_SENDERS`] entries of a zone to as many of each other zone. All of them choose by
 //! rendezvous hash over the VMs that the feed lists, so no agreement is needed. Processes whose
 //! views differ for a while may choose different partners, which costs reports but counts nothing
 //! twice. See `docs/design/load-reports.md`.
@@ -33,7 +33,7 @@
 pub const ENTRY_FANOUT: usize = 12;
 /// The number of entries of a zone that send the zone's sum to another zone, and of those that
 /// receive it there.
-pub const ZONE_SPEAKERS: usize = 2;
+pub const ZONE_SENDERS: usize = 2;
 /// The time between two reports of an engine. It is longer where an entry would receive more than
 /// [`MAX_ENGINE_REPORTS_PER_S`].
 pub const ENGINE_PERIOD: Duration = Duration::from_millis(100);
@@ -350,9 +350,9 @@
             let pair = pair(text_key(self.zone.as_str()), text_key(zone.as_str()));
             let mine = mix(pair, key);
             let above = others.iter().filter(|other| mix(pair, other.key) > mine);
-            if above.count() < ZONE_SPEAKERS {
-                let speakers = highest(entries, |vm| mix(pair, vm), ZONE_SPEAKERS);
-                partners.remote.extend(speakers);
+            if above.count() < ZONE_SENDERS {
+                let senders = highest(entries, |vm| mix(pair, vm), ZONE_SENDERS);
+                partners.remote.extend(senders);
                 partners.forwards.insert(zone);
             }
         }
--- a/crates/policy/tests/load.rs
+++ b/crates/policy/tests/load.rs
@@ -24,7 +24,7 @@
         MAX_AGE, Table,
         exchange::{
             AGENT_FANOUT, ENGINE_PERIOD, ENTRY_FANOUT, ENTRY_PERIOD, Exchange, MAX_ENGINE_PERIOD,
-            MAX_PARTS, Outgoing, Refusal, Role, ZONE_PERIOD, ZONE_SPEAKERS, engine as figures,
+            MAX_PARTS, Outgoing, Refusal, Role, ZONE_PERIOD, ZONE_SENDERS, engine as figures,
         },
         is_shared, shared,
     },
@@ -465,7 +465,7 @@
                 }
             }
         }
-        let bound = ZONE_SPEAKERS.min(entries);
+        let bound = ZONE_SENDERS.min(entries);
         assert_eq!(pairs.len(), 6, "each zone hears of each other one");
         for (pair, between) in pairs {
             assert_eq!(between.len(), bound * bound, "{pair:?}");
@@ -507,9 +507,9 @@
             queue.push((place, report.clone()));
         }
     }
-    assert_eq!(deliveries, 4 + ZONE_SPEAKERS * 3);
+    assert_eq!(deliveries, 4 + ZONE_SENDERS * 3);
     let next = sender.report(2, content);
-    for (millis, expected) in [(200, 0), (500, ZONE_SPEAKERS)] {
+    for (millis, expected) in [(200, 0), (500, ZONE_SENDERS)] {
         let forwarding = nodes
             .iter_mut()
             .filter_map(|(exchange, _)| exchange.forward(&next, at(millis)));
