Move what engines and zones can do to a module of its own, and correct its comment

Change: policy::placement::capacity holds it; one function gives an engine's capacity. Behaviour stays as it is.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -6,12 +6,9 @@
 //! what other entries send to the same instances, so it multiplies its own in-flight requests by the
 //! number of entries. See `docs/PLATFORM.md`, "Placing".
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+mod capacity;
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use domain::{
     clock::Instant,
@@ -31,10 +28,12 @@
     notice::{self, Availability, Notice},
     roster::Roster,
     silence,
-    spillover::{Spillover, Zone},
+    spillover::Spillover,
     view::View,
 };
 
+pub use capacity::Capacity;
+
 /// Score penalty of an instance in another zone, as a fraction of its slots. Crossing regions adds
 /// a few milliseconds and uses bandwidth of a narrow link.
 const REMOTE_PENALTY: f64 = 0.3;
@@ -47,13 +46,6 @@
 /// The same for the least urgent priority. An engine without any backlog stands still in part from
 /// the end of a request until the next report of its load.
 const MIN_BACKLOG: u32 = 1;
-/// Requests per slot at the engines of a zone from which on it is short of capacity.
-const FULL_OCCUPANCY: f64 = 0.95;
-/// The part of the offered work below which a zone sheds: averages of what is offered and what is
-/// admitted differ a little at all times.
-const ADMITTED_PART: f64 = 0.9;
-/// Milliseconds of a second.
-const MILLIS_PER_SECOND: f64 = 1_000.0;
 /// Hundredths of one.
 const PERCENT: f64 = 100.0;
 /// Score penalty of an engine that stops accepting requests before the response would end, as a
@@ -125,15 +117,6 @@
     pub zone: Option<&'a name::AvailabilityZone>,
 }
 
-/// What the engines that may serve a request can do.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Capacity {
-    /// The work that they can do, in engine milliseconds per second.
-    pub engine_ms: f64,
-    /// The mean number of running and waiting requests per slot.
-    pub occupancy: f64,
-}
-
 /// The selected instance.
 #[derive(Clone, Debug)]
 pub struct Choice {
@@ -748,6 +731,7 @@
             Some(_) => self.reports.occupancy(instance.address, now),
             None => None,
         };
+        let guessed = f64::from(load.in_flight) * f64::from(entries) / slots;
         let running = match (requirements.share, reported) {
             (Some(share), Some(occupancy)) => {
                 if occupancy.requests >= occupancy_limit(instance.slots, share.rank) {
@@ -761,14 +745,8 @@
                 };
                 f64::from(occupancy.requests) * pace / slots + penalty
             }
-            (Some(_), None) => {
-                let running = f64::from(load.in_flight) * f64::from(entries) / slots;
-                if running >= 1.0 {
-                    return None;
-                }
-                running
-            }
-            (None, _) => f64::from(load.in_flight) * f64::from(entries) / slots,
+            (Some(_), None) if guessed >= 1.0 => return None,
+            _ => guessed,
         };
         let prefill = service.engine.as_ref().map_or(0.0, |engine| {
             let seconds = load.prefill_tokens as f64 / f64::from(engine.read_per_s.max(1));
@@ -787,128 +765,6 @@
         Some(running + prefill + distance + coldness + jitter)
     }
 
-    /// Adjusts how much of a service's work leaves the zone. `own` is the work that callers of this
-    /// entry ask for, in engine milliseconds per second.
-    pub fn plan_spillover(&mut self, view: &View, service: &name::Service, own: f64, now: Instant) {
-        let zones = self.zones(view, service, own, now);
-        let home = zones.get(&self.zone).copied().unwrap_or_default();
-        let others = zones
-            .into_iter()
-            .filter(|(zone, _)| *zone != self.zone)
-            .collect();
-        let spillover = self.spillovers.entry(service.clone()).or_default();
-        spillover.update(home, &others);
-    }
-
-    /// The zone to which a request leaves that takes so much engine time, in milliseconds, or `None`
-    /// if it stays at home.
-    pub fn spill(
-        &mut self,
-        service: &name::Service,
-        work_ms: f64,
-    ) -> Option<name::AvailabilityZone> {
-        self.spillovers.get_mut(service)?.choose(work_ms)
-    }
-
-    /// The part of a service's work that leaves the zone.
-    pub fn spilled_share(&self, service: &name::Service) -> f64 {
-        self.spillovers.get(service).map_or(0.0, Spillover::share)
-    }
-
-    /// The load of the zones in service whose demand is known, by the engines that are ready.
-    fn zones(
-        &self,
-        view: &View,
-        service: &name::Service,
-        own: f64,
-        now: Instant,
-    ) -> BTreeMap<name::AvailabilityZone, Zone> {
-        let mut zones = BTreeMap::<name::AvailabilityZone, Zone>::new();
-        let (mut slots, mut requests) = (0, 0);
-        for instance in view.instances.values() {
-            let is_ready = instance.service == *service
-                && instance.phase == Phase::Ready
-                && !view.zones_out.contains(&instance.zone)
-                && !self.is_suspected(instance, now);
-            if !is_ready {
-                continue;
-            }
-            let occupancy = self.reports.occupancy(instance.address, now);
-            let pace = occupancy.map_or(100, |occupancy| occupancy.pace_percent.max(1));
-            let zone = zones.entry(instance.zone.clone()).or_default();
-            zone.capacity += MILLIS_PER_SECOND * PERCENT / f64::from(pace);
-            if let Some(occupancy) = occupancy {
-                slots += instance.slots;
-                requests += occupancy.requests;
-            }
-        }
-        let occupied = (slots > 0).then(|| f64::from(requests) / f64::from(slots));
-        let home = zones.entry(self.zone.clone()).or_default();
-        home.is_short = occupied.is_none_or(|occupancy| occupancy >= FULL_OCCUPANCY);
-        zones.retain(|name, zone| {
-            let demand = match *name == self.zone {
-                true => Some(self.reports.demand_in_zone(service, now)),
-                false => self.reports.demand_of_zone(name, service, now),
-            };
-            let is_known = demand.is_some();
-            for part in demand.unwrap_or_default().into_values() {
-                let (offered, admitted) = (f64::from(part.offered_ms), f64::from(part.admitted_ms));
-                zone.demand += offered;
-                let is_shed = admitted < offered * ADMITTED_PART;
-                zone.is_short |= *name != self.zone && (is_shed || part.waiting > 0);
-            }
-            is_known
-        });
-        if let Some(home) = zones.get_mut(&self.zone) {
-            home.demand += own;
-        }
-        zones
-    }
-
-    /// The mean number of requests per slot at the engines that may serve the request, and their
-    /// capacity in engine milliseconds per second. Without a model, engines that may serve any of the
-    /// service's models count; those that are switching versions don't. Engines without a recent report count as full
-    /// and of the described pace.
-    pub fn capacity(&self, view: &View, requirements: &Requirements<'_>, now: Instant) -> Capacity {
-        let mut capacity = Capacity::default();
-        let Some(service) = view.services.get(requirements.service) else {
-            return capacity;
-        };
-        let mut slots = 0.0;
-        let mut requests = 0.0;
-        let models = service.engine.as_ref().map(|engine| &engine.models);
-        let any = models.into_iter().flatten().map(Some);
-        let models: Vec<_> = match requirements.model {
-            Some(model) => vec![Some(model)],
-            None => any.collect(),
-        };
-        for instance in view.instances.values() {
-            let is_eligible = models.iter().any(|model| {
-                let requirements = Requirements {
-                    model: *model,
-                    ..*requirements
-                };
-                self.eligible_version(view, service, instance, &requirements, now)
-                    .is_some()
-            });
-            if !is_eligible || self.is_suspected(instance, now) {
-                continue;
-            }
-            let occupancy = self.reports.occupancy(instance.address, now);
-            if let Some(occupancy) = occupancy {
-                slots += f64::from(instance.slots);
-                requests += f64::from(occupancy.requests);
-            }
-            let pace = occupancy.map_or(100, |occupancy| occupancy.pace_percent.max(1));
-            capacity.engine_ms += MILLIS_PER_SECOND * PERCENT / f64::from(pace);
-        }
-        capacity.occupancy = match slots > 0.0 {
-            true => requests / slots,
-            false => 1.0,
-        };
-        capacity
-    }
-
     /// Whether the instance is warming up, or its zone has just come back into service.
     pub fn is_cold(&self, instance: &Instance, now: Instant) -> bool {
         let is_zone_cold = self
