--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -17,7 +17,7 @@
 /// How long the caller may leave a stream unread, kept beside the answer. A whole answer has no such
 /// bound: its instance is done with it, and a caller on a slow link may still want it.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Patience(pub(crate) Duration);
+pub(crate) struct UnreadTimeout(pub(crate) Duration);
 
 type Frames = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, Broken>>>>;
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -18,7 +18,7 @@
 use crate::{
     answer::Failure,
     attempt::{self, Answered, Outcome, Outgoing},
-    body::{self, Body, Broken, Patience},
+    body::{self, Body, Broken, UnreadTimeout},
     dialect::Ask,
     gate::{self, Permit, shared},
     journal::{End, Trace},
@@ -537,9 +537,10 @@
                 response_of(&head, bytes)
             }
             Begun::Stream(answered, turn, reader, first) => {
-                let patience = Patience(Duration::from_millis(self.route.timeout_ms.into()));
+                let unread_timeout =
+                    UnreadTimeout(Duration::from_millis(self.route.timeout_ms.into()));
                 let mut response = Response::new(body::full(Bytes::new()));
-                response.extensions_mut().insert(patience);
+                response.extensions_mut().insert(unread_timeout);
                 *response.status_mut() = answered.head.status;
                 *response.headers_mut() = returned(&answered.head.headers);
                 let version = answered.reply.version;
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     answer::Unread,
-    body::{Broken, Patience},
+    body::{Broken, UnreadTimeout},
     call,
     site::Site,
     socket::{Signals, Socket},
@@ -173,8 +173,8 @@
             let response = with_close(&site, answered?);
             let extensions = response.extensions();
             told.is_unread.set(extensions.get::<Unread>().is_some());
-            told.unread_limit
-                .set(extensions.get().copied().map(|Patience(time)| time));
+            told.unread_timeout
+                .set(extensions.get().copied().map(|UnreadTimeout(time)| time));
             Ok::<_, Broken>(response)
         }
     });
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -33,7 +33,7 @@
     /// Whether the last answer was given before its request was read.
     pub(crate) is_unread: Cell<bool>,
     /// How long the caller may leave the last answer unread, if that is bounded.
-    pub(crate) unread_limit: Cell<Option<Duration>>,
+    pub(crate) unread_timeout: Cell<Option<Duration>>,
 }
 
 /// A connection to a caller or an instance.
@@ -64,11 +64,11 @@
         written: Poll<io::Result<usize>>,
         cx: &mut Context<'_>,
     ) -> Poll<io::Result<usize>> {
-        match (&written, self.signals.unread_limit.get()) {
-            (Poll::Pending, Some(patience)) => {
+        match (&written, self.signals.unread_timeout.get()) {
+            (Poll::Pending, Some(timeout)) => {
                 let stalled = self
                     .stalled
-                    .get_or_insert_with(|| Box::pin(time::sleep(patience)));
+                    .get_or_insert_with(|| Box::pin(time::sleep(timeout)));
                 ready!(stalled.as_mut().poll(cx));
                 // The instance's work for it is over too; nothing of the rest is worth sending.
                 self.signals.is_broken.set(true);
