--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -551,6 +551,12 @@
         Self { id: id.to_owned(), service, host, born: wall_ms(), sequence: AtomicU64::new(0) }
     }
 
+    /// Sets the time of its start, by its machine's clock, in milliseconds since the Unix epoch.
+    pub fn with_born(mut self, born: u64) -> Self {
+        self.born = born;
+        self
+    }
+
     /// The body of the next heartbeat.
     pub fn beat(&self, stage: &Stage, state: &str, held: &str) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
