--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -344,6 +344,8 @@
 /// What a stand-in answers.
 pub enum Answer {
     Whole { status: u16, headers: Vec<(String, String)>, body: Vec<u8> },
+    /// None: the connection ends.
+    Closed,
     /// Events, with the pause before each.
     Stream { headers: Vec<(String, String)>, pause: Duration, events: Vec<String> },
 }
@@ -367,6 +369,7 @@
 
 fn write_answer(stream: &mut TcpStream, answer: Answer) -> io::Result<()> {
     match answer {
+        Answer::Closed => Err(io::ErrorKind::ConnectionAborted.into()),
         Answer::Whole { status, headers, body } => {
             let head = format!("{}Content-Length: {}\r\n\r\n", head(status, &headers), body.len());
             stream.write_all(&[head.as_bytes(), &body].concat())
