Load layers only from chunks that were read shortly before

Cause: the agent read the staged chunks, told the entries, waited 120 ms and sent the order, without looking at a clock. Its machine stood still in between. The record of the case: last read 11.465 s, suspended until 15.466 s, order accepted 15.470 s.

Ruled out: chunks that were bad before the reading (3.70 s is less than the suspension), and a second reading (4 ms are too short for 48 reads).

Change: policy::loading bounds the age of the oldest read at the order (2 s) and at the acceptance (3 s), by the clock that advances while a VM is suspended. An acceptance that may have come later, a lost answer or an order that no reply explains take the engine out of use until the chunks are read again; spoilt layers are given up and loaded anew. The order's log line says the age of the oldest read.

The other tests of this file still assert whole chunks at each load.

Conclusion: a check is worth as much as its age when it takes effect.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod lifecycle;
 pub mod listing;
 pub mod load;
+pub mod loading;
 pub mod membership;
 pub mod memory;
 pub mod notice;
--- a/crates/stager/src/bring.rs
+++ b/crates/stager/src/bring.rs
@@ -275,24 +275,29 @@
         Ok(())
     }
 
-    /// Reads back what is staged, and stages again what does not lie there as it should. What is
-    /// not held here any more must be brought again.
-    pub(crate) async fn verify(&mut self) -> bool {
-        let mut is_good = true;
+    /// Reads back what is staged. Returns the chunks that don't lie there as they should.
+    pub(crate) async fn inspect(&self) -> Vec<usize> {
+        let mut bad = Vec::new();
         for index in 0..self.manifest.digests.len() {
             let read = self.engine.read(&self.model, index).await;
             if matches!(&read, Ok(Some(bytes)) if self.is_whole(index, bytes)) {
                 continue;
             }
-            is_good = false;
             warn!(self.logger, "weights: staged chunk is spoilt or gone";
                 "model" => self.model.as_str(), "index" => index);
+            bad.push(index);
+        }
+        bad
+    }
+
+    /// Stages chunks again. Those that are not held here any more must be brought again.
+    pub(crate) async fn restage(&mut self, bad: impl IntoIterator<Item = usize>) {
+        for index in bad {
             match self.shelf.get(&self.manifest.digests[index]) {
                 Some(bytes) => self.place(index, bytes).await,
                 None => self.spread.mark_missing(index, (self.now)()),
             }
         }
-        is_good
     }
 
     /// Follows what the agents that matter hold.
--- a/crates/stager/src/port.rs
+++ b/crates/stager/src/port.rs
@@ -1,8 +1,11 @@
 //! The borders to the engine beside the agent and to the origin of weights.
 
+use std::ops::Range;
+
 use bytes::Bytes;
 use domain::{digest::Digest, name};
 use futures::future::LocalBoxFuture;
+use policy::loading::Reply;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -26,6 +29,8 @@
     pub serving: Vec<(name::Artifact, u64)>,
     /// Whether an order is in progress.
     pub is_busy: bool,
+    /// How many orders it has begun since its start, if it says so.
+    pub orders: Option<u64>,
     /// How loaded it is, if it says so.
     pub figures: Option<Figures>,
 }
@@ -64,8 +69,20 @@
     /// Stages a chunk in the place of what lay there.
     fn write<'a>(&'a self, model: &'a name::Artifact, index: usize, chunk: Bytes)
     -> Answer<'a, ()>;
-    /// Orders the engine to load what is staged once its running requests have ended.
-    fn load<'a>(&'a self, model: &'a name::Artifact, version: u64) -> Answer<'a, ()>;
+    /// Orders the engine to load some layers of the `count` that the model has from what is staged
+    /// when it accepts the order, and to give up the others. It answers within
+    /// [`policy::loading::ANSWER_LIMIT`].
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if no answer came. The engine may accept the order later.
+    fn load<'a>(
+        &'a self,
+        model: &'a name::Artifact,
+        version: u64,
+        layers: Range<u32>,
+        count: u32,
+    ) -> Answer<'a, Reply>;
 }
 
 /// A version's chunks as the origin lists them. Nothing vouches for the list but the origin.
--- a/crates/stager/src/stager.rs
+++ b/crates/stager/src/stager.rs
@@ -19,6 +19,7 @@
 use peer::{chunks, connection::Dialer, uplink::Feed};
 use policy::{
     listing::{self, Listing},
+    loading::{Load, Reply, Sighting, Step},
     owner::Member,
     spread::Spread,
     switch,
@@ -30,7 +31,7 @@
 use crate::{
     bring::{Bring, Peers, Roster},
     link::Link,
-    port::{Engine, Manifest, Origin},
+    port::{Engine, Manifest, Origin, Report},
     share::Share,
     shelf::Shelf,
 };
@@ -44,6 +45,8 @@
 /// The pause before another agent is asked for a list. An agent that will have it holds the question
 /// meanwhile.
 const LIST_RETRY: Duration = Duration::from_millis(20);
+/// How often an engine is asked for a report before chunks are staged beside it.
+const ADOPT_TRIES: u32 = 5;
 /// How long entries get to learn that the engine moves before it does: a feed's gathering time,
 /// twice, and a link between regions.
 const NOTICE: Duration = Duration::from_millis(120);
@@ -97,6 +100,10 @@
     /// When the engine stops accepting requests in order to load another version, once that
     /// version is held.
     moves_at: Cell<Option<Instant>>,
+    /// Whether the layers of the engine were loaded from whole chunks.
+    load: RefCell<Load>,
+    /// The version that the agent wanted last.
+    wanted: Cell<Option<Digest>>,
 }
 
 /// What a model's engine should do next.
@@ -118,6 +125,8 @@
             named: RefCell::default(),
             doubted: Cell::default(),
             moves_at: Cell::default(),
+            load: RefCell::default(),
+            wanted: Cell::default(),
             started_at,
             given,
         })
@@ -203,6 +212,9 @@
     async fn serve(self: &Rc<Self>, task: &Task) {
         // A version that was overtaken is loaded no more.
         self.moves_at.set(None);
+        if self.wanted.replace(Some(key(task))) != Some(key(task)) {
+            self.load.borrow_mut().retarget();
+        }
         let origin = (self.given.origin)(task.origin);
         let Some(manifest) = self.manifest(task, &origin).await else {
             return;
@@ -236,6 +248,8 @@
             now: Rc::new(move || shared.given.clock.now()),
             roster: Rc::new(move || roster.roster()),
         };
+        self.adopt(task).await;
+        self.load.borrow_mut().restage();
         let begun = self.given.clock.now();
         tokio::select! {
             brought = bring.run() => match brought {
@@ -316,8 +330,35 @@
         }
     }
 
-    /// One look at the engine: waits if all is well, orders it to load if it is time. Says whether
-    /// nothing went wrong.
+    /// Looks at the engine before anything is staged beside it, because it may still be loading what
+    /// an earlier agent ordered.
+    async fn adopt(&self, task: &Task) {
+        for _ in 0..ADOPT_TRIES {
+            match self.given.engine.report(task.layers).await {
+                Ok(report) => return self.observe_engine(task, &report),
+                Err(_) => time::sleep(RETRY).await,
+            }
+        }
+    }
+
+    fn observe_engine(&self, task: &Task, report: &Report) {
+        let sighting = Sighting {
+            is_loading: report.is_busy,
+            is_served: report.version_of(&task.model) == Some(task.version),
+            orders: report.orders,
+        };
+        let mut load = self.load.borrow_mut();
+        let before = load.step();
+        load.observe(sighting, self.given.clock.now());
+        if load.step() != before {
+            info!(self.given.logger, "engine: evidence on its layers changed";
+                "model" => task.model.as_str(), "version" => task.version,
+                "before" => ?before, "after" => ?load.step());
+        }
+    }
+
+    /// One look at the engine: waits if all is well, orders it to load if it is time. Returns
+    /// whether nothing went wrong.
     async fn reconcile(&self, task: &Task, bring: &mut Bring) -> bool {
         let report = match self.given.engine.report(task.layers).await {
             Ok(report) => report,
@@ -326,26 +367,62 @@
                 return false;
             }
         };
+        self.observe_engine(task, &report);
+        let step = self.load.borrow().step();
         let served = report.version_of(&task.model);
-        let is_moving = report.is_busy || served.is_none();
+        let is_moving = report.is_busy || served.is_none() || step != Step::Serve;
         self.tell(&task.model, served, is_moving);
         if report.is_busy {
             self.moves_at.set(Some(self.given.clock.now()));
         } else if served == Some(task.version) {
             self.moves_at.set(None);
         }
-        if served == Some(task.version) || report.is_busy {
-            let period = match is_moving {
-                true => PERIOD,
-                false => REPORT_PERIOD,
-            };
-            self.pause(task, period).await;
+        match (step, served == Some(task.version)) {
+            _ if report.is_busy => {}
+            (Step::Serve, true) => {}
+            (Step::Inspect, true) => return self.inspect(task, bring).await,
+            _ => return self.advance(task, bring, served, step).await,
+        }
+        let period = match is_moving {
+            true => PERIOD,
+            false => REPORT_PERIOD,
+        };
+        self.pause(task, period).await;
+        true
+    }
+
+    /// Reads the staged chunks, and stages again what is spoilt or gone. Returns `false` if the list
+    /// of chunks is doubtful.
+    async fn inspect(&self, task: &Task, bring: &mut Bring) -> bool {
+        let begun_at = self.given.clock.now();
+        let bad = bring.inspect().await;
+        if bad.is_empty() {
+            self.load.borrow_mut().pass(begun_at);
             return true;
         }
+        let before = self.load.borrow().step();
+        self.load.borrow_mut().restage();
+        if before == Step::Inspect {
+            warn!(self.given.logger, "engine: may have loaded spoilt chunks and is not used";
+                "model" => task.model.as_str(), "version" => task.version);
+        }
+        bring.restage(bad).await;
+        // What is missing is brought again before the next look.
+        bring.run().await.is_ok()
+    }
+
+    /// Orders the engine to load the version, if it is time.
+    async fn advance(
+        &self,
+        task: &Task,
+        bring: &mut Bring,
+        served: Option<u64>,
+        step: Step,
+    ) -> bool {
         // An engine that serves nothing loses nothing by loading at once.
         let due_at = match served {
-            Some(served) => self.due_at(task, served, bring),
-            None => self.started_at,
+            Some(served) if step == Step::Serve => self.due_at(task, served, bring),
+            _ => self.started_at,
         };
         self.moves_at.set(served.map(|_| due_at));
         let now = self.given.clock.now();
@@ -353,21 +430,49 @@
             self.pause(task, due_at.since(now).min(REPORT_PERIOD)).await;
             return true;
         }
-        if !bring.verify().await {
-            // What is missing is brought again before the next look.
-            return bring.run().await.is_ok();
+        if !self.inspect(task, bring).await {
+            return false;
+        }
+        if self.load.borrow().age(now).is_none() {
+            return true;
         }
         // Entries turn away first, so that nothing is sent to an engine that takes nothing.
         self.tell(&task.model, served, true);
         time::sleep(NOTICE).await;
-        let ordered = self.given.engine.load(&task.model, task.version).await;
-        match &ordered {
-            Ok(()) => info!(self.given.logger, "engine: ordered to load";
-                "model" => task.model.as_str(), "version" => task.version, "serves" => served),
-            Err(error) => warn!(self.given.logger, "engine: order failed";
-                "model" => task.model.as_str(), "version" => task.version, "reason" => %error),
+        self.order(task, served).await
+    }
+
+    /// Orders the engine to load what is staged, unless it was read too long ago.
+    async fn order(&self, task: &Task, served: Option<u64>) -> bool {
+        let now = self.given.clock.now();
+        let age = self.load.borrow().age(now).unwrap_or_default();
+        if !self.load.borrow().may_order(now) || !self.is_current(task) {
+            info!(self.given.logger, "engine: order put off"; "model" => task.model.as_str(),
+                "version" => task.version, "read_age_ms" => age.as_millis() as u64);
+            return true;
+        }
+        let layers = self.load.borrow().part(task.layers);
+        let engine = &self.given.engine;
+        let ordered = engine
+            .load(&task.model, task.version, layers.clone(), task.layers)
+            .await;
+        let now = self.given.clock.now();
+        let age = self.load.borrow().age(now).unwrap_or_default();
+        self.load.borrow_mut().answer(ordered.as_ref().ok(), now);
+        let reason = match &ordered {
+            Ok(Reply::Refused(reason)) => Some(reason.clone()),
+            Ok(Reply::Begun | Reply::InEffect) => None,
+            Err(error) => Some(error.to_string()),
+        };
+        match &reason {
+            None => info!(self.given.logger, "engine: ordered to load";
+                "model" => task.model.as_str(), "version" => task.version, "serves" => served,
+                "layers" => ?layers, "read_age_ms" => age.as_millis() as u64, "reply" => ?ordered.ok()),
+            Some(reason) => warn!(self.given.logger, "engine: order failed";
+                "model" => task.model.as_str(), "version" => task.version, "reason" => reason,
+                "layers" => ?layers, "read_age_ms" => age.as_millis() as u64),
         }
-        ordered.is_ok()
+        reason.is_none()
     }
 
     /// Tells entries which version the engine serves and whether it takes new requests.
--- a/crates/stager/tests/versions.rs
+++ b/crates/stager/tests/versions.rs
@@ -7,8 +7,12 @@
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     future::Future,
+    ops::Range,
     rc::Rc,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -24,7 +28,7 @@
 };
 use futures::FutureExt;
 use peer::{connection::Dialer, load::Node, uplink::Feed};
-use policy::{age::Bound, owner::Member, view::View};
+use policy::{age::Bound, loading::Reply, owner::Member, view::View};
 use stager::{
     Given, Stager,
     load::Reporter,
@@ -39,12 +43,38 @@
     format!("{version}/{index}").into()
 }
 
-/// Time that stands still while something is to be done.
-struct Paused(time::Instant);
+/// How many layers the model has.
+const LAYERS: u32 = 2;
+/// How long a VM is suspended.
+const FREEZE: Duration = Duration::from_secs(4);
+/// How long a chunk may have been spoilt when it is loaded.
+const EXCUSE: Duration = Duration::from_secs(3);
+
+/// Time that stands still while something is to be done. A suspended VM also loses time in which
+/// timers don't run.
+struct Paused {
+    begun_at: time::Instant,
+    suspended_ms: AtomicU64,
+}
+
+impl Paused {
+    fn new() -> Self {
+        Self {
+            begun_at: time::Instant::now(),
+            suspended_ms: AtomicU64::default(),
+        }
+    }
+
+    fn suspend(&self, span: Duration) {
+        let millis = span.as_millis() as u64;
+        self.suspended_ms.fetch_add(millis, Ordering::Relaxed);
+    }
+}
 
 impl Clock for Paused {
     fn now(&self) -> Instant {
-        Instant::from_millis(60_000) + self.0.elapsed()
+        let suspended = Duration::from_millis(self.suspended_ms.load(Ordering::Relaxed));
+        Instant::from_millis(60_000) + self.begun_at.elapsed() + suspended
     }
 
     fn wall_ms(&self) -> u64 {
@@ -52,8 +82,44 @@
     }
 }
 
+/// A step of the agent during which its VM is suspended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Step {
+    /// Before a chunk is read back.
+    Read(usize),
+    /// After the last chunk was read back.
+    Notice,
+    /// While the order is on its way.
+    Order,
+    /// After the engine accepted the order and before its answer comes.
+    Answer,
+    /// After the answer.
+    Load,
+}
+
+/// A suspension that is still to come: staged chunks turn bad at its beginning.
+#[derive(Clone, Copy, Debug)]
+struct Suspension {
+    step: Step,
+    /// Whether the answer to an order is lost by it.
+    is_answer_lost: bool,
+}
+
 /// The engine, the origin and the operator.
 struct World {
+    clock: Arc<Paused>,
+    /// Whether an order may come while a staged chunk is spoilt.
+    may_load_spoilt: Cell<bool>,
+    suspension: Cell<Option<Suspension>>,
+    /// When staged chunks turned bad.
+    spoilt_at: RefCell<BTreeMap<usize, Instant>>,
+    /// The layers that the engine holds, and whether each was loaded from whole chunks.
+    layers: RefCell<BTreeMap<u32, bool>>,
+    /// Whether an order is in progress.
+    is_busy: Cell<bool>,
+    /// How many orders were begun.
+    orders: Cell<u64>,
+    presence: watch::Receiver<Option<Arc<Vm>>>,
     staged: RefCell<BTreeMap<usize, Bytes>>,
     serving: Cell<u64>,
     /// The versions that it was ordered to load.
@@ -81,6 +147,85 @@
     async fn after(&self, millis: u64) {
         time::sleep(Duration::from_millis(millis)).await;
     }
+
+    /// Suspends the VM if that is due at this step. Returns whether the answer to an order is lost.
+    fn reach(&self, step: Step) -> bool {
+        let Some(suspension) = self.suspension.get().filter(|next| next.step == step) else {
+            return false;
+        };
+        self.suspension.set(None);
+        self.rot(3);
+        self.clock.suspend(FREEZE);
+        suspension.is_answer_lost
+    }
+
+    /// A staged chunk turns bad.
+    fn rot(&self, index: usize) {
+        let bad = Bytes::from_static(b"rot");
+        self.staged.borrow_mut().insert(index, bad);
+        self.spoilt_at.borrow_mut().insert(index, self.clock.now());
+    }
+
+    /// Whether a chunk is whole, or has not been spoilt for long.
+    fn is_whole(&self, version: u64, index: usize) -> bool {
+        let spoilt_at = self.spoilt_at.borrow().get(&index).copied();
+        let is_excused = spoilt_at.is_some_and(|at| self.clock.now().since(at) <= EXCUSE);
+        is_excused || self.staged.borrow().get(&index) == Some(&chunk(version, index))
+    }
+
+    /// Loads layers from what is staged now, and gives the others up.
+    fn load(&self, version: u64, wanted: Range<u32>) -> Reply {
+        for index in (0..CHUNKS).filter(|_| !self.may_load_spoilt.get()) {
+            let staged = self.staged.borrow().get(&index).cloned();
+            assert_eq!(staged, Some(chunk(version, index)), "version {version}");
+        }
+        let is_same = self.serving.get() == version;
+        let old = match is_same {
+            true => self.layers.take(),
+            false => BTreeMap::new(),
+        };
+        let kept = old
+            .clone()
+            .into_iter()
+            .filter(|(layer, _)| wanted.contains(layer));
+        let mut layers: BTreeMap<u32, bool> = kept.collect();
+        let share = CHUNKS / LAYERS as usize;
+        for layer in wanted.clone() {
+            let chunks = layer as usize * share..(layer as usize + 1) * share;
+            let is_whole = || chunks.clone().all(|index| self.is_whole(version, index));
+            layers.entry(layer).or_insert_with(is_whole);
+        }
+        let reply = match layers == old {
+            true => Reply::InEffect,
+            false => Reply::Begun,
+        };
+        self.layers.replace(layers);
+        self.serving.set(version);
+        let begun = u64::from(reply == Reply::Begun);
+        self.orders.set(self.orders.get() + begun);
+        reply
+    }
+
+    /// Whether the engine serves whole layers, or entries are told not to use it.
+    fn is_sound(&self) -> bool {
+        let is_used = self
+            .presence
+            .borrow()
+            .as_ref()
+            .is_some_and(|vm| vm.status.lifecycle == Lifecycle::Warm);
+        let layers = self.layers.borrow();
+        let is_complete = layers.len() == LAYERS as usize;
+        !(is_used && is_complete) || layers.values().all(|is_whole| *is_whole)
+    }
+
+    /// Whether the engine serves a version and is used.
+    fn is_in_use(&self, version: u64) -> bool {
+        let presence = self.presence.borrow();
+        let is_warm = presence
+            .as_ref()
+            .is_some_and(|vm| vm.status.lifecycle == Lifecycle::Warm);
+        is_warm && self.serving.get() == version && self.layers.borrow().len() == LAYERS as usize
+    }
 }
 
 struct Side(Rc<World>);
@@ -92,9 +237,12 @@
             self.0
                 .reads
                 .set(self.0.reads.get() + u32::from(layers == 0));
+            let is_complete = self.0.layers.borrow().len() == LAYERS as usize;
+            let serving = is_complete.then(|| ("m".into(), self.0.serving.get()));
             Ok(Report {
-                serving: vec![("m".into(), self.0.serving.get())],
-                is_busy: false,
+                serving: serving.into_iter().collect(),
+                is_busy: self.0.is_busy.get(),
+                orders: Some(self.0.orders.get()),
                 figures: self.0.has_figures.get().then_some(Figures {
                     active: 5,
                     queued: 2,
@@ -112,28 +260,47 @@
     }
 
     fn read<'a>(&'a self, _: &'a name::Artifact, index: usize) -> Answer<'a, Option<Bytes>> {
-        async move { Ok(self.0.staged.borrow().get(&index).cloned()) }.boxed_local()
+        async move {
+            self.0.reach(Step::Read(index));
+            let read = self.0.staged.borrow().get(&index).cloned();
+            if index == CHUNKS - 1 {
+                self.0.reach(Step::Notice);
+            }
+            Ok(read)
+        }
+        .boxed_local()
     }
 
     fn write<'a>(&'a self, _: &'a name::Artifact, index: usize, chunk: Bytes) -> Answer<'a, ()> {
         async move {
+            self.0.spoilt_at.borrow_mut().remove(&index);
             self.0.staged.borrow_mut().insert(index, chunk);
             Ok(())
         }
         .boxed_local()
     }
 
-    fn load<'a>(&'a self, _: &'a name::Artifact, version: u64) -> Answer<'a, ()> {
+    fn load<'a>(
+        &'a self,
+        _: &'a name::Artifact,
+        version: u64,
+        layers: Range<u32>,
+        count: u32,
+    ) -> Answer<'a, Reply> {
         async move {
+            assert_eq!(count, LAYERS);
             // The order is on its way for a while, and takes what lies staged when it arrives.
             self.0.after(30).await;
-            for index in 0..CHUNKS {
-                let staged = self.0.staged.borrow().get(&index).cloned();
-                assert_eq!(staged, Some(chunk(version, index)), "version {version}");
+            let mut is_lost = self.0.reach(Step::Order);
+            let reply = self.0.load(version, layers.clone());
+            if layers == (0..count) && reply == Reply::Begun {
+                self.0.loads.borrow_mut().push(version);
+            }
+            is_lost |= self.0.reach(Step::Answer);
+            match is_lost {
+                true => World::failed(),
+                false => Ok(reply),
             }
-            self.0.loads.borrow_mut().push(version);
-            self.0.serving.set(version);
-            Ok(())
         }
         .boxed_local()
     }
@@ -195,7 +362,7 @@
         memory_tokens: 1,
         usual_prompt: 1,
         usual_answer: 1,
-        layers: 1,
+        layers: LAYERS,
         chunks: CHUNKS as u32,
         chunk_bytes: 8,
         load_ms: 1,
@@ -242,6 +409,16 @@
     }
 }
 
+/// The agent beside the engine.
+fn agent() -> Vm {
+    let mut agent = entry();
+    agent.announcement.vm = "agent".into();
+    agent.announcement.upstream = Upstream::Engine {
+        checks_fencing: false,
+    };
+    agent
+}
+
 /// Runs a test with an agent beside an engine that serves version 1.
 fn run<F: Future<Output = ()>>(test: impl FnOnce(Rc<World>) -> F) {
     run_with_load(async |world, _| test(world).await);
@@ -249,13 +426,31 @@
 
 /// The same, with the agent's load reports.
 fn run_with_load<F: Future<Output = ()>>(test: impl FnOnce(Rc<World>, Rc<Reporter>) -> F) {
+    run_beside(false, test);
+}
+
+/// The same, beside an engine that is or is not still loading what an earlier agent ordered.
+fn run_beside<F: Future<Output = ()>>(
+    is_busy: bool,
+    test: impl FnOnce(Rc<World>, Rc<Reporter>) -> F,
+) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .start_paused(true)
         .build()
         .unwrap();
     task::LocalSet::new().block_on(&runtime, async {
+        let clock = Arc::new(Paused::new());
+        let (sender, presence) = watch::channel(Some(Arc::new(agent())));
         let world = Rc::new(World {
+            clock: clock.clone(),
+            may_load_spoilt: Cell::new(is_busy),
+            suspension: Cell::default(),
+            spoilt_at: RefCell::default(),
+            layers: RefCell::new((0..LAYERS).map(|layer| (layer, true)).collect()),
+            is_busy: Cell::new(is_busy),
+            orders: Cell::default(),
+            presence,
             staged: RefCell::new((0..CHUNKS).map(|i| (i, chunk(1, i))).collect()),
             serving: Cell::new(1),
             loads: RefCell::default(),
@@ -266,7 +461,6 @@
             reads: Cell::new(0),
             has_figures: Cell::new(true),
         });
-        let clock = Arc::new(Paused(time::Instant::now()));
         let (operator, origin, now) = (world.clone(), world.clone(), clock.clone());
         let stager = Stager::new(Given {
             me: Member {
@@ -285,7 +479,7 @@
             engine: Rc::new(Side(world.clone())),
             origin: Rc::new(move |_| Rc::new(Side(origin.clone()))),
             dialer: Dialer::new(b"secret".as_slice()),
-            presence: watch::channel(None).0,
+            presence: sender,
             link_bytes_per_s: 1_000_000,
             limit: LIMIT,
             logger: telemetry::log::discard(),
@@ -335,6 +529,63 @@
     });
 }
 
+/// Guards against an engine that serves chunks which turned bad while the VM was suspended between
+/// the reading of the chunks and their loading.
+#[test]
+fn chunks_that_turn_bad_while_the_vm_is_suspended_are_not_served() {
+    let steps = [
+        Step::Read(0),
+        Step::Read(2),
+        Step::Read(4),
+        Step::Read(CHUNKS - 1),
+        Step::Notice,
+        Step::Order,
+        Step::Answer,
+        Step::Load,
+    ];
+    for step in steps {
+        for is_answer_lost in [false, true] {
+            run(async |world| {
+                // The engine's turn comes 2.56 s after the version was named.
+                world.target.set(2);
+                world.after(2_000).await;
+                world.may_load_spoilt.set(true);
+                world.suspension.set(Some(Suspension {
+                    step,
+                    is_answer_lost,
+                }));
+                let mut in_use_for = 0;
+                for tick in 0..1_600 {
+                    world.after(5).await;
+                    if step == Step::Load && world.serving.get() == 2 {
+                        world.reach(Step::Load);
+                    }
+                    let case = format!("{step:?}, lost {is_answer_lost}, {tick}");
+                    assert!(world.is_sound(), "{case}");
+                    in_use_for += u32::from(world.is_in_use(2));
+                }
+                assert!(world.suspension.get().is_none(), "{step:?} did not come");
+                assert!(in_use_for > 400, "{step:?}: {in_use_for}");
+            });
+        }
+    }
+}
+
+/// Guards against an agent that trusts what its engine was loading when the agent started.
+#[test]
+fn layers_that_an_earlier_agent_ordered_are_loaded_anew() {
+    run_beside(true, async |world, _| {
+        world.layers.borrow_mut().insert(0, false);
+        assert!(world.is_sound());
+        world.is_busy.set(false);
+        for _ in 0..400 {
+            world.after(5).await;
+            assert!(world.is_sound());
+        }
+        assert!(world.is_in_use(1));
+    });
+}
+
 #[test]
 fn chunks_that_the_origin_spoils_are_drawn_again() {
     run(async |world| {
