Count the time of an old version from the last state without the new one

Cause: the placer counted the time from when the entry learned of the version. The record of the case: awake at 9.086 s, last request on version 1 at 15.281 s, which is the 6.3 s of the margin later.

Ruled out: state that was too old (the entry knew the version, or its time would not have ended then), and requests held up at engines.

Change: policy::naming keeps, for each target, when the newest state without it was confirmed; the target was acknowledged after that. The time counts from there, and a late first state follows from the same rule. Polls say how long they were held, so that an idle feed does not make its last state look older than it is.

Tests of the placer now say when the last state was confirmed; their due times are as before.

Conclusion: what proves the age of news is the last thing known before it.

--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -87,6 +87,7 @@
             feed: ArcSwap::from_pointee(uplink::Feed {
                 view: Arc::default(),
                 bound: Bound::UNKNOWN,
+                targets: Arc::default(),
             }),
             changes: watch::Sender::new(0),
             clock,
@@ -110,11 +111,13 @@
             commit,
             cursor: Cursor::default(),
             age_ms: 0,
+            held_ms: 0,
         })
         .unwrap();
         self.feed.store(Arc::new(uplink::Feed {
             view: Arc::new(view),
             bound: Bound::new(self.clock.now(), Duration::ZERO),
+            targets: Arc::default(),
         }));
         self.changes.send_modify(|n| *n += 1);
     }
@@ -128,7 +131,13 @@
     fn freeze_age(&self) {
         let view = self.feed.load().view.clone();
         let bound = Bound::new(self.clock.now(), Duration::ZERO);
-        self.feed.store(Arc::new(uplink::Feed { view, bound }));
+        let targets = Arc::default();
+        let feed = uplink::Feed {
+            view,
+            bound,
+            targets,
+        };
+        self.feed.store(Arc::new(feed));
     }
 }
 
--- a/crates/bench/src/cmd/capacity.rs
+++ b/crates/bench/src/cmd/capacity.rs
@@ -109,6 +109,7 @@
             sequence: 1,
         },
         age_ms: 0,
+        held_ms: 0,
     };
     view.apply(batch).map_err(Error::step("apply a batch"))
 }
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -387,6 +387,7 @@
             commit: self.applied(),
             cursor: since.cursor,
             age_ms,
+            held_ms: 0,
         }
     }
 }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -34,12 +34,17 @@
     fn poll(&self, poll: Poll) -> Answer<Batch> {
         let core = self.core.clone();
         async move {
+            let received_at = core.clock.now();
             await_quorum(&core, poll.wait).await;
             check_feed(&core)?;
             core.lane(poll.scope).wait(poll.cursor, poll.wait).await;
             // The state may have grown old during the wait.
             check_feed(&core)?;
-            let batch = core.batch(poll.scope, poll.cursor);
+            let held = core.clock.now().since(received_at);
+            let batch = Batch {
+                held_ms: u64::try_from(held.as_millis()).unwrap_or(u64::MAX),
+                ..core.batch(poll.scope, poll.cursor)
+            };
             let kind = match (batch.is_snapshot, batch.deltas.is_empty()) {
                 (true, _) => "snapshot",
                 (false, false) => "delta",
--- a/crates/domain/src/record.rs
+++ b/crates/domain/src/record.rs
@@ -163,4 +163,7 @@
     /// The age of the batch when it was sent: an upper bound on the time since a quorum confirmed
     /// that `revision` was the newest accepted one, in milliseconds.
     pub age_ms: u64,
+    /// How long the poll was held before the batch was sent, in milliseconds. The batch was sent at
+    /// least so long after the subscriber's request.
+    pub held_ms: u64,
 }
--- a/crates/entry/tests/common/control.rs
+++ b/crates/entry/tests/common/control.rs
@@ -113,6 +113,7 @@
             commit: view.commit + 1,
             cursor: Cursor::default(),
             age_ms: 0,
+            held_ms: 0,
         })
         .unwrap();
         *slot = Arc::new(view);
@@ -270,6 +271,7 @@
         Arc::new(Feed {
             view: self.view.lock().clone(),
             bound,
+            targets: Arc::default(),
         })
     }
 
--- a/crates/entry/tests/daemon.rs
+++ b/crates/entry/tests/daemon.rs
@@ -59,6 +59,7 @@
                     sequence: view.commit,
                 },
                 age_ms: 0,
+                held_ms: 0,
             })
         })
     }
--- a/crates/peer/schema/wire.capnp
+++ b/crates/peer/schema/wire.capnp
@@ -28,6 +28,7 @@
   ageMs @3 :UInt64;
   deltaPacks @4 :List(Data);   # record::Delta
   commit @5 :UInt64;
+  heldMs @6 :UInt64;
 }
 
 interface Control {
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -277,6 +277,7 @@
         revision: Revision(reader.get_revision()),
         cursor: read_cursor(reader.get_cursor()?),
         age_ms: reader.get_age_ms(),
+        held_ms: reader.get_held_ms(),
         commit: reader.get_commit(),
     })
 }
@@ -288,6 +289,7 @@
     builder.set_is_snapshot(answer.is_snapshot);
     builder.set_revision(answer.revision.0);
     builder.set_age_ms(answer.age_ms);
+    builder.set_held_ms(answer.held_ms);
     builder.set_commit(answer.commit);
     write_cursor(answer.cursor, builder.reborrow().init_cursor());
     let len = u32::try_from(answer.deltas.len()).unwrap_or(u32::MAX);
--- a/crates/peer/src/uplink.rs
+++ b/crates/peer/src/uplink.rs
@@ -13,7 +13,7 @@
     digest::Digest,
     ledger, name, quarantine, vm,
 };
-use policy::{age::Bound, view::View};
+use policy::{age::Bound, naming, view::View};
 use slog::{Logger, info, warn};
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -68,6 +68,8 @@
     pub view: Arc<View>,
     /// The age of the committed part.
     pub bound: Bound,
+    /// When the target versions were set.
+    pub targets: Arc<naming::Table>,
 }
 
 impl Feed {
@@ -110,6 +112,7 @@
         let feed = Arc::new(ArcSwap::from_pointee(Feed {
             view: Arc::default(),
             bound: Bound::UNKNOWN,
+            targets: Arc::default(),
         }));
         let (changed, changes) = watch::channel(0);
         let (writes, queue) = mpsc::channel(MAX_QUEUED_WRITES);
@@ -289,7 +292,8 @@
                 wait: POLL_WAIT,
             };
             let batch = session.poll(poll).await?;
-            let bound = Bound::new(asked_at, Duration::from_millis(batch.age_ms));
+            let replied_at = asked_at + Duration::from_millis(batch.held_ms);
+            let bound = Bound::new(replied_at, Duration::from_millis(batch.age_ms));
             let is_change = batch.is_snapshot || !batch.deltas.is_empty();
             let is_moved = batch.cursor != feed.view.cursor || batch.revision != feed.view.revision;
             let view = if is_change || is_moved {
@@ -310,9 +314,14 @@
                 feed.view.clone()
             };
             pause.reset();
+            let targets = match view.targets == feed.view.targets {
+                true => feed.targets.clone(),
+                false => Arc::new(self.observe_targets(&feed, &view)),
+            };
             self.feed.store(Arc::new(Feed {
                 view,
                 bound: bound.tightest(feed.bound),
+                targets,
             }));
             if is_change {
                 self.changed.send_modify(|n| *n += 1);
@@ -320,6 +329,19 @@
         }
     }
 
+    /// The target versions with those that a state sets in the place of the last one.
+    fn observe_targets(&self, last: &Feed, view: &View) -> naming::Table {
+        let mut targets = naming::Table::clone(&last.targets);
+        targets.observe(view, last.bound);
+        let age_ms = last.bound.age(self.clock.now());
+        let age_ms = age_ms.map(|age| age.as_millis() as u64);
+        for (model, version) in &view.targets {
+            info!(self.config.logger, "control: target version"; "model" => model.as_str(),
+                "version" => version, "last_state_age_ms" => age_ms);
+        }
+        targets
+    }
+
     async fn announce(self: Rc<Self>) {
         let Some(mut presence) = self.presence.clone() else {
             return;
--- a/crates/peer/src/wire_capnp.rs
+++ b/crates/peer/src/wire_capnp.rs
@@ -1740,11 +1740,15 @@
         pub fn get_commit(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
+        #[inline]
+        pub fn get_held_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1858,6 +1862,14 @@
         pub fn set_commit(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(3, value);
         }
+        #[inline]
+        pub fn get_held_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_held_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1872,66 +1884,73 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 114] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 129] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(217, 124, 55, 226, 36, 85, 115, 232),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(88, 54, 158, 122, 192, 242, 177, 212),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(119, 105, 114, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 66, 97, 116, 99, 104),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 115, 83, 110, 97, 112, 115, 104),
             ::capnp::word(111, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
@@ -1987,6 +2006,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 108, 100, 77, 115, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1996,6 +2023,7 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2009,9 +2037,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,5,1,4,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,5,1,4,6,0,2];
         pub(crate) const TYPE_ID: u64 = 0xe873_5524_e237_7cd9;
     }
 }
--- a/crates/policy/src/age.rs
+++ b/crates/policy/src/age.rs
@@ -25,6 +25,11 @@
         }
     }
 
+    /// When a quorum confirmed the state, if one ever did.
+    pub fn confirmed_at(&self) -> Option<Instant> {
+        self.confirmed_at
+    }
+
     /// Returns the age at `now`, or `None` if the state was never confirmed.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.confirmed_at.map(|at| now.since(at))
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod loading;
 pub mod membership;
 pub mod memory;
+pub mod naming;
 pub mod notice;
 pub mod orders;
 pub mod owner;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -24,7 +24,7 @@
     breaker::{self, State},
     bucket::Bucket,
     cold::{self, Limit},
-    load,
+    load, naming,
     notice::{self, Availability, Notice},
     roster::Roster,
     silence,
@@ -82,9 +82,10 @@
 /// was set.
 #[derive(Clone, Copy, Debug)]
 pub struct Grace {
-    /// For a target that the entry saw change, counted from that change.
+    /// Counted from the newest confirmed state that lacks the target.
     pub seen: Duration,
-    /// For a target that was already set when the entry started, counted from the start.
+    /// Counted from the start of the entry, for every target: an entry that has just started can't
+    /// know when a target was set.
     pub unseen: Duration,
 }
 
@@ -214,8 +215,6 @@
     /// How long after the last request for an old version a request may begin on it.
     version_margin: Option<Duration>,
     started_at: Instant,
-    /// Whether a state of the fleet has been observed.
-    has_state: bool,
     loads: HashMap<name::Instance, Load>,
     breakers: breaker::Table<name::Instance>,
     /// Engines from which nothing comes.
@@ -256,7 +255,6 @@
             grace,
             version_margin: None,
             started_at: now,
-            has_state: false,
             loads: HashMap::new(),
             breakers: breaker::Table::new(),
             silent: silence::Table::new(),
@@ -302,9 +300,10 @@
         self
     }
 
-    /// Updates from a new view of the replicated state.
-    pub fn observe(&mut self, view: &View, now: Instant) {
-        self.observe_targets(view, now);
+    /// Updates from a new view of the replicated state. `targets` has the versions that were set so
+    /// far.
+    pub fn observe(&mut self, view: &View, targets: &naming::Table, now: Instant) {
+        self.observe_targets(view, targets, now);
         self.observe_zones(view, now);
         self.observe_engines(view);
         let entries = view
@@ -774,27 +773,31 @@
         instance.cold_ms > 0 || is_zone_cold
     }
 
-    fn observe_targets(&mut self, view: &View, now: Instant) {
-        // A target that an earlier state did not have was set since then, also soon after a start.
-        let is_first = !self.has_state && now.since(self.started_at) < self.grace.unseen;
-        let due_at = match is_first {
-            true => self.started_at + self.grace.unseen,
-            false => now + self.grace.seen,
-        };
-        self.has_state |= !view.instances.is_empty();
+    fn observe_targets(&mut self, view: &View, set: &naming::Table, now: Instant) {
+        let earliest = self.started_at + self.grace.unseen;
         for (model, version) in &view.targets {
             let targets = self.targets.entry(model.clone()).or_default();
-            if targets.last().is_some_and(|last| last.version >= *version) {
-                continue;
-            }
-            // A target that has been superseded keeps its due time. Without this, requests could
-            // begin on a version older than both targets.
-            let due = targets.iter().rposition(|target| now >= target.due_at);
-            targets.drain(..due.unwrap_or_default());
-            targets.push(Target {
+            let unknown = naming::Target {
                 version: *version,
-                due_at,
-            });
+                set_after: None,
+            };
+            for target in set.of(model).iter().chain([&unknown]) {
+                if targets
+                    .last()
+                    .is_some_and(|last| last.version >= target.version)
+                {
+                    continue;
+                }
+                // A target that has been superseded keeps its due time. Without this, requests could
+                // begin on a version older than both targets.
+                let due = targets.iter().rposition(|target| now >= target.due_at);
+                targets.drain(..due.unwrap_or_default());
+                let counted = target.set_after.map(|at| at + self.grace.seen);
+                targets.push(Target {
+                    version: target.version,
+                    due_at: counted.map_or(earliest, |due_at| due_at.max(earliest)),
+                });
+            }
         }
     }
 
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -16,6 +16,7 @@
 };
 use policy::{
     cold::Limit,
+    naming,
     placement::{Grace, Placer, Requirements},
     view::View,
 };
@@ -174,7 +175,7 @@
                 view(warmup, all.max(2), names)
             });
             if now_ms.is_multiple_of(LIST_MS) {
-                life.placer.observe(view, now);
+                life.placer.observe(view, &naming::Table::new(), now);
             }
             let requirements = Requirements {
                 service: &"cold".into(),
--- a/crates/policy/tests/common/fleet.rs
+++ b/crates/policy/tests/common/fleet.rs
@@ -8,7 +8,12 @@
     record::{Record, Target},
     routing::{Engine, Service, Warmup},
 };
-use policy::placement::{Grace, Placer};
+use policy::{
+    age::Bound,
+    naming,
+    placement::{Grace, Placer},
+    view::View,
+};
 use rand::{SeedableRng, rngs::StdRng};
 
 pub(crate) const GRACE: Grace = Grace {
@@ -18,6 +23,13 @@
 /// A time after the startup grace period, when an entry sees target versions change.
 pub(crate) const LATER: Instant = Instant::from_millis(60_000);
 
+/// An entry sees a state, and targets in it that were set just before.
+pub(crate) fn observe(placer: &mut Placer, view: &View, now: Instant) {
+    let mut targets = naming::Table::new();
+    targets.observe(view, Bound::new(now, Duration::ZERO));
+    placer.observe(view, &targets, now);
+}
+
 pub(crate) fn engine() -> Engine {
     Engine {
         models: vec!["m".into()],
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -13,6 +13,7 @@
         commit: 1,
         cursor: Cursor::default(),
         age_ms: 0,
+        held_ms: 0,
     })
     .unwrap();
     view
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -64,6 +64,7 @@
         commit: 0,
         cursor: Cursor::default(),
         age_ms: 0,
+        held_ms: 0,
     }
 }
 
--- a/crates/policy/tests/orders.rs
+++ b/crates/policy/tests/orders.rs
@@ -57,6 +57,7 @@
         commit,
         cursor: Cursor::default(),
         age_ms: 0,
+        held_ms: 0,
     })
     .unwrap();
     view
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -18,13 +18,15 @@
     vm::{Announcement, Lifecycle, Status, Upstream, Vm},
 };
 use policy::{
+    age::Bound,
     bucket::Bucket,
+    naming,
     placement::{Error, Placer, Requirements},
     round_robin::RoundRobin,
     view::View,
 };
 
-use fleet::{GRACE, LATER, fleet, instance, placer, service, target};
+use fleet::{GRACE, LATER, fleet, instance, observe, placer, service, target};
 
 struct Request {
     service: name::Service,
@@ -93,7 +95,7 @@
     for (name, instance, expected) in cases {
         let view = view(fleet(vec![instance]));
         let mut placer = placer();
-        placer.observe(&view, LATER);
+        observe(&mut placer, &view, LATER);
         let chosen = choose(&mut placer, &view, &Request::new(), LATER);
         assert_eq!(chosen, expected, "{name}");
     }
@@ -105,7 +107,7 @@
     let out = [Record::ZoneOut("a".into())];
     let view_out = view(both().into_iter().chain(out));
     let mut placer = placer();
-    placer.observe(&view_out, LATER);
+    observe(&mut placer, &view_out, LATER);
     let chosen = choose(&mut placer, &view_out, &Request::new(), LATER);
     assert_eq!(chosen, Ok("i-2".to_owned()));
     let bound = Request {
@@ -126,11 +128,11 @@
     let at = |ms| LATER + Duration::from_millis(ms);
     let old = instance(1, "a", 1);
     let one = view(fleet(vec![old.clone()]).into_iter().chain([target(1)]));
-    placer.observe(&one, LATER);
+    observe(&mut placer, &one, LATER);
     let two = view(fleet(vec![old.clone()]).into_iter().chain([target(2)]));
-    placer.observe(&two, LATER);
+    observe(&mut placer, &two, LATER);
     let three = view(fleet(vec![old]).into_iter().chain([target(3)]));
-    placer.observe(&three, at(3_000));
+    observe(&mut placer, &three, at(3_000));
     let cases = [
         (5_900, Ok("i-1".to_owned())),
         (6_100, Err(Error::NoInstance)),
@@ -165,9 +167,9 @@
     let mut placer = placer();
     let instances = vec![instance(1, "a", 1), instance(2, "a", 2)];
     let before = view(fleet(instances.clone()).into_iter().chain([target(1)]));
-    placer.observe(&before, LATER);
+    observe(&mut placer, &before, LATER);
     let state = view(fleet(instances).into_iter().chain([target(2)]));
-    placer.observe(&state, LATER);
+    observe(&mut placer, &state, LATER);
     let request = Request {
         pinned: Some(1),
         ..Request::new()
@@ -202,8 +204,11 @@
     ];
     for (name, states, due) in cases {
         let mut placer = placer();
-        placer.observe(states[0], Instant::ZERO);
-        placer.observe(states[1], soon);
+        let mut targets = naming::Table::new();
+        targets.observe(states[0], Bound::UNKNOWN);
+        placer.observe(states[0], &targets, Instant::ZERO);
+        targets.observe(states[1], Bound::new(soon, Duration::ZERO));
+        placer.observe(states[1], &targets, soon);
         let due_at = Instant::ZERO + due;
         let just_before = due_at - Duration::from_millis(1);
         let request = Request::new();
@@ -214,6 +219,86 @@
     }
 }
 
+/// Guards against an old version that is used for too long by an entry that learns late of the new
+/// one, and against one that is cut short at an entry that learns in time.
+#[test]
+fn old_version_is_over_by_the_last_state_without_the_new_one() {
+    let at = |ms| Instant::from_millis(ms);
+    let seen = GRACE.seen.as_millis() as u64;
+    let unseen = GRACE.unseen.as_millis() as u64;
+    // When the last state without the version was confirmed, if one was, when the version is
+    // heard of, and until when the old one is used.
+    let cases = [
+        ("heard at once", Some(10_000), 10_100, 10_000 + seen),
+        ("the entry stood still", Some(10_000), 13_500, 10_000 + seen),
+        (
+            "it stood still for longer",
+            Some(10_000),
+            30_000,
+            10_000 + seen,
+        ),
+        ("the feed was late", Some(8_000), 12_000, 8_000 + seen),
+        ("soon after the start", Some(100), 200, 100 + seen),
+        ("there before the first state", None, 100, unseen),
+        ("the first state comes late", None, 5_000, unseen),
+    ];
+    let old = view(fleet(vec![instance(1, "a", 1)]));
+    let new = view(
+        fleet(vec![instance(1, "a", 1)])
+            .into_iter()
+            .chain([target(2)]),
+    );
+    for (name, confirmed, heard, due) in cases {
+        let mut placer = placer();
+        let mut targets = naming::Table::new();
+        if confirmed.is_some() {
+            targets.observe(&old, Bound::UNKNOWN);
+            placer.observe(&old, &targets, at(0));
+        }
+        let before = confirmed.map(|ms| Bound::new(at(ms), Duration::ZERO));
+        targets.observe(&new, before.unwrap_or(Bound::UNKNOWN));
+        placer.observe(&new, &targets, at(heard));
+        for now in [heard, due.max(1) - 1, due]
+            .into_iter()
+            .filter(|now| *now >= heard)
+        {
+            let chosen = choose(&mut placer, &new, &Request::new(), at(now));
+            let expected = match now < due {
+                true => Ok("i-1".to_owned()),
+                false => Err(Error::NoInstance),
+            };
+            assert_eq!(chosen, expected, "{name}, at {now} ms");
+        }
+    }
+}
+
+/// Guards against a version that an entry never saw as the newest one and that then has no time of
+/// its own.
+#[test]
+fn version_that_was_skipped_ends_the_one_before_it() {
+    let at = |ms| Instant::from_millis(10_000 + ms);
+    let state = |version| {
+        view(
+            fleet(vec![instance(1, "a", 1)])
+                .into_iter()
+                .chain([target(version)]),
+        )
+    };
+    let mut targets = naming::Table::new();
+    targets.observe(&state(2), Bound::new(at(0), Duration::ZERO));
+    targets.observe(&state(3), Bound::new(at(3_000), Duration::ZERO));
+    let mut placer = placer();
+    placer.observe(&state(3), &targets, at(3_100));
+    let seen = GRACE.seen.as_millis() as u64;
+    for (now, expected) in [
+        (seen - 1, Ok("i-1".to_owned())),
+        (seen, Err(Error::NoInstance)),
+    ] {
+        let chosen = choose(&mut placer, &state(3), &Request::new(), at(now));
+        assert_eq!(chosen, expected, "{now} ms");
+    }
+}
+
 /// The VM of the process that belongs to the instance with the same number.
 fn vm(n: u16, upstream: Upstream, lifecycle: Lifecycle) -> Record {
     Record::Vm(Box::new(Vm {
@@ -258,7 +343,7 @@
             .chain([agent(lifecycle)]);
         let view = view(records);
         let mut placer = placer();
-        placer.observe(&view, LATER);
+        observe(&mut placer, &view, LATER);
         assert_eq!(
             choose(&mut placer, &view, &Request::new(), LATER),
             expected,
@@ -285,12 +370,12 @@
     let full = view(alone.iter().chain(others).cloned());
     let alone = view(alone);
     let mut placer = placer();
-    placer.observe(if is_late { &alone } else { &full }, LATER);
+    observe(&mut placer, if is_late { &alone } else { &full }, LATER);
     let request = Request::new();
     let sent = (0..1_000).filter(|step| {
         let now = LATER + Duration::from_millis(*step);
         if is_late && *step == 1 {
-            placer.observe(&full, now);
+            observe(&mut placer, &full, now);
         }
         let Ok(choice) = placer.choose(&full, &request.requirements(), now) else {
             return false;
@@ -326,7 +411,7 @@
     let instances = (1..=6).map(|n| instance(n, if n <= 3 { "a" } else { "b" }, 1));
     let view = view(fleet(instances.collect()));
     let mut placer = placer();
-    placer.observe(&view, LATER);
+    observe(&mut placer, &view, LATER);
     let mut counts = HashMap::<String, u32>::new();
     let request = Request::new();
     for _ in 0..48 {
@@ -388,7 +473,7 @@
     for (silent, is_avoided) in cases {
         let view = view(fleet((1..=4).map(|n| instance(n, "a", 1)).collect()));
         let mut placer = placer();
-        placer.observe(&view, LATER);
+        observe(&mut placer, &view, LATER);
         let sent = (1..=silent).flat_map(|n| [n; 2]);
         for n in sent {
             placer.expect(&format!("i-{n}").as_str().into(), LATER);
@@ -421,9 +506,9 @@
     };
     let named = |version| view(fleet(instances()).into_iter().chain([target(version)]));
     let mut placer = placer().with_version_margin(MARGIN);
-    placer.observe(&named(1), LATER);
-    placer.observe(&named(2), LATER);
-    placer.observe(&named(3), at(2_000));
+    observe(&mut placer, &named(1), LATER);
+    observe(&mut placer, &named(2), LATER);
+    observe(&mut placer, &named(3), at(2_000));
     let cases = [
         ("due first", instance(1, "a", 1), Some(at(7_000))),
         ("due later", instance(2, "a", 2), Some(at(9_000))),
@@ -438,7 +523,7 @@
         assert_eq!(other, None, "{name}, another model");
     }
     // A version that is over stays so.
-    placer.observe(&state, at(30_000));
+    observe(&mut placer, &state, at(30_000));
     let until = placer.must_begin_by(&state, &cases[0].1, &"m".into());
     assert_eq!(until, cases[0].2);
 }
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -337,6 +337,7 @@
                 commit,
                 cursor: Cursor::default(),
                 age_ms: 0,
+                held_ms: 0,
             })
             .unwrap();
         for feed in &mut self.feeds {
--- a/crates/policy/tests/resolve.rs
+++ b/crates/policy/tests/resolve.rs
@@ -72,6 +72,7 @@
         commit: 1,
         cursor: Cursor::default(),
         age_ms: 0,
+        held_ms: 0,
     })
     .unwrap();
     view
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -76,6 +76,7 @@
         commit: view.commit,
         cursor: Cursor::default(),
         age_ms: 0,
+        held_ms: 0,
     })
     .unwrap();
     Arc::new(view)
--- a/crates/policy/tests/sharing.rs
+++ b/crates/policy/tests/sharing.rs
@@ -94,7 +94,7 @@
 fn observed(records: Vec<Record>) -> (Placer, View) {
     let view = view(records);
     let mut placer = placer();
-    placer.observe(&view, LATER);
+    fleet::observe(&mut placer, &view, LATER);
     (placer, view)
 }
 
--- a/crates/policy/tests/state.rs
+++ b/crates/policy/tests/state.rs
@@ -471,6 +471,7 @@
         commit,
         cursor: Cursor::default(),
         age_ms: 0,
+        held_ms: 0,
     };
     view.apply(batch).unwrap();
 }
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -347,7 +347,7 @@
         loop {
             let feed = self.feed();
             let now = self.now();
-            self.place(|placer| placer.observe(&feed.view, now));
+            self.place(|placer| placer.observe(&feed.view, &feed.targets, now));
             self.witness.observe(&self, &feed.view);
             if changes.changed().await.is_err() {
                 return;
--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -31,6 +31,7 @@
 use peer::uplink::Feed;
 use policy::{
     age::Bound,
+    naming,
     notice::Notice,
     placement::{Grace, Placer},
     quarantine::Table,
@@ -212,6 +213,7 @@
 pub(crate) struct Control {
     view: RefCell<Arc<View>>,
     bound: Cell<Bound>,
+    targets: RefCell<Arc<naming::Table>>,
     changes: watch::Sender<u64>,
     table: RefCell<Table>,
     clock: Arc<dyn Clock>,
@@ -222,6 +224,7 @@
         Arc::new(Feed {
             view: self.view.borrow().clone(),
             bound: self.bound.get(),
+            targets: self.targets.borrow().clone(),
         })
     }
 }
@@ -250,6 +253,9 @@
         let commit = view.commit + 1;
         view.apply(batch(false, commit, vec![Delta::Set(target)]))
             .unwrap();
+        let mut targets = naming::Table::clone(&self.targets.borrow());
+        targets.observe(&view, Bound::new(self.clock.now(), Duration::ZERO));
+        *self.targets.borrow_mut() = Arc::new(targets);
         *self.view.borrow_mut() = Arc::new(view);
         self.changes.send_modify(|n| *n += 1);
     }
@@ -279,6 +285,7 @@
         commit,
         cursor: Cursor::default(),
         age_ms: 0,
+        held_ms: 0,
     }
 }
 
@@ -437,6 +444,7 @@
     Rc::new(Control {
         view: RefCell::new(Arc::new(view)),
         bound: Cell::new(Bound::new(clock.now(), Duration::ZERO)),
+        targets: RefCell::default(),
         changes: watch::Sender::new(0),
         table: RefCell::default(),
         clock,
--- a/crates/stager/tests/versions.rs
+++ b/crates/stager/tests/versions.rs
@@ -474,6 +474,7 @@
                 Arc::new(Feed {
                     view: Arc::new(view(operator.target.get(), operator.is_shared.get())),
                     bound: Bound::new(now.now(), Duration::ZERO),
+                    targets: Arc::default(),
                 })
             }),
             engine: Rc::new(Side(world.clone())),
