Say whether requests need a key instead of counting callers

Cause: the routing's head said that keys are needed if there is any caller, and the decoder took a missing list of tenants for an empty one.

Ruled out: a late feed (6.5 s after the acknowledgement; the requests ran without a tenant, which no older configuration allows).

Change: the decoded table says whether keys are needed. The decision stands in policy::view::View::authorize.

Conclusion: emptiness is a value, not the absence of a wish.

--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -227,7 +227,7 @@
     let head = Head {
         version,
         limits: table.limits,
-        has_callers: !table.callers.is_empty(),
+        has_callers: table.needs_key,
         shared: load::shared(table),
     };
     let services = table.services.iter().cloned().map(Box::new);
--- a/crates/domain/src/record.rs
+++ b/crates/domain/src/record.rs
@@ -47,7 +47,8 @@
     pub version: u64,
     /// The limits on callers' connections.
     pub limits: routing::Limits,
-    /// Whether callers need a key on routes that are not public.
+    /// Whether requests need the key of a caller on routes that are not public, also if there is no
+    /// caller.
     pub has_callers: bool,
     /// The services that share their engines by priority. Agents get no routes, from which this
     /// follows.
--- a/crates/domain/src/routing.rs
+++ b/crates/domain/src/routing.rs
@@ -39,7 +39,11 @@
     pub routes: Vec<Route>,
     /// The services to which the routes lead.
     pub services: Vec<Service>,
-    /// The callers that may send requests. If there are none, no key is needed.
+    /// Whether requests need the key of a caller on routes that are not public. The operator says
+    /// so; it doesn't follow from the number of callers, so that taking the last one away opens
+    /// nothing.
+    pub needs_key: bool,
+    /// The callers that may send requests.
     pub callers: Vec<Caller>,
     /// The limits on callers' connections.
     pub limits: Limits,
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -68,6 +68,11 @@
     pub offered: u64,
 }
 
+/// The request presents no key that a caller holds, and needs one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("no caller holds the key")]
+pub struct Unauthorized;
+
 impl View {
     /// Applies the changes of a batch, or rejects a batch of an older state.
     ///
@@ -101,9 +106,25 @@
         self.customers.get(self.keys.get(key)?)
     }
 
-    /// Returns the caller of the routing that holds the key with the given digest.
-    pub fn caller_by_key(&self, key: &Digest) -> Option<&Arc<routing::Caller>> {
-        self.callers.get(self.caller_keys.get(key)?)
+    /// Returns the caller whose key a request on a route presents, or nothing if the route is open
+    /// to everybody.
+    ///
+    /// # Errors
+    ///
+    /// [`Unauthorized`] if the request needs a key and presents none, or one that no caller holds.
+    pub fn authorize(
+        &self,
+        routing: &Routing,
+        route: &routing::Route,
+        key: Option<&[u8]>,
+    ) -> Result<Option<&Arc<routing::Caller>>, Unauthorized> {
+        if route.is_public || !routing.has_callers {
+            return Ok(None);
+        }
+        let key = key.ok_or(Unauthorized)?;
+        let holder = self.caller_keys.get(&Digest::of(key));
+        let caller = holder.and_then(|name| self.callers.get(name));
+        caller.map(Some).ok_or(Unauthorized)
     }
 
     /// Returns the version of a model that is served to a plan now: the first of the plan's
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -187,14 +187,9 @@
         .find(host, head.uri.path())
         .ok_or(Failure::NoRoute)?;
     trace.route = Some(route.name.clone());
-    let caller = match routing.has_callers && !route.is_public {
-        false => None,
-        true => {
-            let key = ask.key.as_deref().ok_or(Failure::NoKey)?;
-            let digest = domain::digest::Digest::of(key);
-            Some(view.caller_by_key(&digest).ok_or(Failure::NoKey)?)
-        }
-    };
+    let caller = view
+        .authorize(routing, route, ask.key.as_deref())
+        .map_err(|_| Failure::NoKey)?;
     trace.customer = caller.map(|caller| caller.name.clone());
     let service = site.next_service(route).ok_or_else(|| Failure::Refused {
         reason: "no service has a weight".to_owned(),
