Name the evidence on loaded layers, and bound the hold of a poll by the clock

Read as a newcomer: policy::loading::Load stood beside policy::load and the orders to load; it is Evidence now, and what a report says an Observation.

A reply that claims a longer hold than the time since its request would have made the state look newer than it is; the time of the reply is at most now.

--- a/crates/peer/src/uplink.rs
+++ b/crates/peer/src/uplink.rs
@@ -292,7 +292,9 @@
                 wait: POLL_WAIT,
             };
             let batch = session.poll(poll).await?;
+            // It was sent so long after the request at least, and has come.
             let replied_at = asked_at + Duration::from_millis(batch.held_ms);
+            let replied_at = replied_at.min(self.clock.now());
             let bound = Bound::new(replied_at, Duration::from_millis(batch.age_ms));
             let is_change = batch.is_snapshot || !batch.deltas.is_empty();
             let is_moved = batch.cursor != feed.view.cursor || batch.revision != feed.view.revision;
--- a/crates/policy/src/loading.rs
+++ b/crates/policy/src/loading.rs
@@ -33,7 +33,7 @@
 
 /// What a report of the engine says of its orders.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Sighting {
+pub struct Observation {
     /// Whether an order is in progress.
     pub is_loading: bool,
     /// Whether the engine serves the version that the agent wants.
@@ -49,7 +49,7 @@
     Serve,
     /// Read the staged chunks without staging any.
     Inspect,
-    /// Order the layers of [`Load::part`].
+    /// Order the layers of [`Evidence::part`].
     Reload,
 }
 
@@ -79,7 +79,7 @@
 
 /// The evidence on the layers of the engine beside an agent.
 #[derive(Clone, Debug)]
-pub struct Load {
+pub struct Evidence {
     state: State,
     /// When the last reading of all staged chunks began, if it found them whole.
     read_at: Option<Instant>,
@@ -89,7 +89,7 @@
     begun: u64,
 }
 
-impl Load {
+impl Evidence {
     /// Creates the evidence of an agent that has just started.
     pub fn new() -> Self {
         Self {
@@ -101,9 +101,9 @@
     }
 
     /// Records what the engine reports.
-    pub fn observe(&mut self, sighting: Sighting, now: Instant) {
-        let is_unexpected = self.count(sighting.orders);
-        let (is_loading, is_served) = (sighting.is_loading, sighting.is_served);
+    pub fn observe(&mut self, observation: Observation, now: Instant) {
+        let is_unexpected = self.count(observation.orders);
+        let (is_loading, is_served) = (observation.is_loading, observation.is_served);
         self.state = match self.state {
             State::Unanswered { is_restaged } if is_served => self.accepted(is_restaged, now),
             // The engine may have begun an older order than the last one.
@@ -220,7 +220,7 @@
     }
 }
 
-impl Default for Load {
+impl Default for Evidence {
     fn default() -> Self {
         Self::new()
     }
--- a/crates/policy/tests/loading.rs
+++ b/crates/policy/tests/loading.rs
@@ -2,7 +2,7 @@
 //! chunks turn bad.
 
 use domain::clock::Instant;
-use policy::loading::{ANSWER_LIMIT, Load, MAX_AGE, Reply, Sighting, Step};
+use policy::loading::{ANSWER_LIMIT, Evidence, MAX_AGE, Observation, Reply, Step};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 const LAYERS: u32 = 4;
@@ -12,8 +12,8 @@
 }
 
 /// A report that says nothing of the number of orders.
-fn sighting(is_loading: bool, is_served: bool) -> Sighting {
-    Sighting {
+fn observation(is_loading: bool, is_served: bool) -> Observation {
+    Observation {
         is_loading,
         is_served,
         orders: None,
@@ -24,14 +24,14 @@
 #[test]
 fn order_is_put_off_once_the_oldest_read_is_too_old() {
     let limit = (MAX_AGE - ANSWER_LIMIT).as_millis() as u64;
-    let mut load = Load::new();
-    assert!(!load.may_order(at(0)), "nothing was read");
-    load.pass(at(0));
+    let mut evidence = Evidence::new();
+    assert!(!evidence.may_order(at(0)), "nothing was read");
+    evidence.pass(at(0));
     for (now, may_order) in [(0, true), (limit, true), (limit + 1, false)] {
-        assert_eq!(load.may_order(at(now)), may_order, "{now} ms");
+        assert_eq!(evidence.may_order(at(now)), may_order, "{now} ms");
     }
-    load.restage();
-    assert!(!load.may_order(at(1)), "a chunk was staged since");
+    evidence.restage();
+    assert!(!evidence.may_order(at(1)), "a chunk was staged since");
 }
 
 /// Guards against trust in a load whose acceptance may have come long after the chunks were read,
@@ -50,30 +50,34 @@
         (None, limit, true, Step::Reload),
     ];
     for (reply, now, is_restaged, expected) in cases {
-        let mut load = Load::new();
-        load.pass(at(0));
-        load.answer(reply.as_ref(), at(now));
+        let mut evidence = Evidence::new();
+        evidence.pass(at(0));
+        evidence.answer(reply.as_ref(), at(now));
         if is_restaged {
-            load.restage();
+            evidence.restage();
         }
-        load.observe(sighting(false, reply.is_none()), at(now));
+        evidence.observe(observation(false, reply.is_none()), at(now));
         let case = format!("{reply:?} after {now} ms, restaged: {is_restaged}");
-        assert_eq!(load.step(), expected, "{case}");
+        assert_eq!(evidence.step(), expected, "{case}");
     }
 }
 
 /// Guards against an engine that serves its old version while it may accept an order at any time.
 #[test]
 fn lost_answer_takes_the_engine_out_of_use_until_the_next_one() {
-    let mut load = Load::new();
-    load.pass(at(0));
-    load.answer(None, at(1_000));
-    load.observe(sighting(false, false), at(1_100));
-    assert_eq!(load.step(), Step::Inspect);
-    load.pass(at(1_200));
-    assert_eq!(load.step(), Step::Inspect, "the order is still on its way");
-    load.answer(Some(&Reply::Begun), at(1_300));
-    assert_eq!(load.step(), Step::Serve);
+    let mut evidence = Evidence::new();
+    evidence.pass(at(0));
+    evidence.answer(None, at(1_000));
+    evidence.observe(observation(false, false), at(1_100));
+    assert_eq!(evidence.step(), Step::Inspect);
+    evidence.pass(at(1_200));
+    assert_eq!(
+        evidence.step(),
+        Step::Inspect,
+        "the order is still on its way"
+    );
+    evidence.answer(Some(&Reply::Begun), at(1_300));
+    assert_eq!(evidence.step(), Step::Serve);
 }
 
 /// Guards against trust in an engine that begins an order of an earlier agent, or a late one.
@@ -88,49 +92,49 @@
         (4, 0, 0, Step::Serve),
     ];
     for (first, second, replies, expected) in cases {
-        let mut load = Load::new();
-        let sighting = |orders| Sighting {
+        let mut evidence = Evidence::new();
+        let observation = |orders| Observation {
             orders: Some(orders),
-            ..sighting(false, true)
+            ..observation(false, true)
         };
-        load.observe(sighting(first), at(0));
-        load.pass(at(0));
+        evidence.observe(observation(first), at(0));
+        evidence.pass(at(0));
         for _ in 0..replies {
-            load.answer(Some(&Reply::Begun), at(100));
+            evidence.answer(Some(&Reply::Begun), at(100));
         }
-        load.observe(sighting(second), at(200));
-        assert_eq!(load.step(), expected, "{first}, {second}, {replies}");
+        evidence.observe(observation(second), at(200));
+        assert_eq!(evidence.step(), expected, "{first}, {second}, {replies}");
     }
 }
 
 /// Guards against a reload that keeps a layer, or that ends although the engine gave none up.
 #[test]
 fn reload_gives_up_and_loads_every_layer() {
-    let mut load = Load::new();
-    load.observe(sighting(true, false), at(0));
+    let mut evidence = Evidence::new();
+    evidence.observe(observation(true, false), at(0));
     let mut parts = Vec::new();
     for now in [1_000, 2_000, 3_000] {
-        load.observe(sighting(false, false), at(now));
-        assert_eq!(load.step(), Step::Reload);
-        load.pass(at(now));
-        parts.push(load.part(LAYERS));
-        load.answer(Some(&Reply::Begun), at(now + 100));
+        evidence.observe(observation(false, false), at(now));
+        assert_eq!(evidence.step(), Step::Reload);
+        evidence.pass(at(now));
+        parts.push(evidence.part(LAYERS));
+        evidence.answer(Some(&Reply::Begun), at(now + 100));
     }
     assert_eq!(parts, [0..2, 2..4, 0..4]);
-    assert_eq!(load.step(), Step::Serve);
+    assert_eq!(evidence.step(), Step::Serve);
 
-    let mut load = Load::new();
-    load.observe(sighting(true, false), at(0));
+    let mut evidence = Evidence::new();
+    evidence.observe(observation(true, false), at(0));
     for now in [1_000, 2_000, 3_000] {
-        load.observe(sighting(false, true), at(now));
-        load.pass(at(now));
+        evidence.observe(observation(false, true), at(now));
+        evidence.pass(at(now));
         assert_eq!(
-            load.part(LAYERS),
+            evidence.part(LAYERS),
             0..2,
             "the engine still holds every layer"
         );
-        load.answer(Some(&Reply::InEffect), at(now + 100));
-        assert_eq!(load.step(), Step::Reload);
+        evidence.answer(Some(&Reply::InEffect), at(now + 100));
+        assert_eq!(evidence.step(), Step::Reload);
     }
 }
 
@@ -218,29 +222,29 @@
         orders: 0,
         late: Vec::new(),
     };
-    let mut load = Load::new();
+    let mut evidence = Evidence::new();
     let mut target = 1;
     for turn in 0..400 {
         let is_calm = turn >= 300;
         if !is_calm && engine.rng.random_bool(0.04) {
             target += 1;
-            load.retarget();
-            load.restage();
+            evidence.retarget();
+            evidence.restage();
             engine.staged.fill((target, None));
         }
         engine.pass_time(is_calm);
         let is_served = engine.is_complete() && engine.serving == target;
         let orders = Some(engine.orders);
-        let sighting = Sighting {
+        let observation = Observation {
             orders,
-            ..sighting(false, is_served)
+            ..observation(false, is_served)
         };
-        load.observe(sighting, at(engine.now));
-        if engine.is_complete() && load.step() == Step::Serve {
+        evidence.observe(observation, at(engine.now));
+        if engine.is_complete() && evidence.step() == Step::Serve {
             let is_whole = engine.layers.iter().all(|layer| *layer == Some(true));
             assert!(is_whole, "seed {seed}, turn {turn}: {:?}", engine.layers);
         }
-        if is_served && load.step() == Step::Serve {
+        if is_served && evidence.step() == Step::Serve {
             continue;
         }
         let read_at = at(engine.now);
@@ -250,20 +254,20 @@
             engine.pass_time(is_calm);
         }
         if !bad.is_empty() {
-            load.restage();
+            evidence.restage();
             bad.iter()
                 .for_each(|index| engine.staged[*index] = (target, None));
             continue;
         }
-        load.pass(read_at);
-        if is_served && load.step() == Step::Serve {
+        evidence.pass(read_at);
+        if is_served && evidence.step() == Step::Serve {
             continue;
         }
         engine.pass_time(is_calm);
-        if !load.may_order(at(engine.now)) {
+        if !evidence.may_order(at(engine.now)) {
             continue;
         }
-        let part = load.part(LAYERS);
+        let part = evidence.part(LAYERS);
         let order = Order {
             version: target,
             begin: part.start,
@@ -278,9 +282,9 @@
             false => Some(engine.accept(&order)),
         };
         engine.pass_time(is_calm);
-        load.answer(reply.as_ref(), at(engine.now));
+        evidence.answer(reply.as_ref(), at(engine.now));
     }
-    engine.is_complete() && load.step() == Step::Serve
+    engine.is_complete() && evidence.step() == Step::Serve
 }
 
 /// Guards against any order of suspensions, lost answers, late orders and spoilt chunks in which the
--- a/crates/stager/src/stager.rs
+++ b/crates/stager/src/stager.rs
@@ -19,7 +19,7 @@
 use peer::{chunks, connection::Dialer, uplink::Feed};
 use policy::{
     listing::{self, Listing},
-    loading::{Load, Reply, Sighting, Step},
+    loading::{Evidence, Observation, Reply, Step},
     owner::Member,
     spread::Spread,
     switch,
@@ -101,7 +101,7 @@
     /// version is held.
     moves_at: Cell<Option<Instant>>,
     /// Whether the layers of the engine were loaded from whole chunks.
-    load: RefCell<Load>,
+    evidence: RefCell<Evidence>,
     /// The version that the agent wanted last.
     wanted: Cell<Option<Digest>>,
 }
@@ -125,7 +125,7 @@
             named: RefCell::default(),
             doubted: Cell::default(),
             moves_at: Cell::default(),
-            load: RefCell::default(),
+            evidence: RefCell::default(),
             wanted: Cell::default(),
             started_at,
             given,
@@ -213,7 +213,7 @@
         // A version that was overtaken is loaded no more.
         self.moves_at.set(None);
         if self.wanted.replace(Some(key(task))) != Some(key(task)) {
-            self.load.borrow_mut().retarget();
+            self.evidence.borrow_mut().retarget();
         }
         let origin = (self.given.origin)(task.origin);
         let Some(manifest) = self.manifest(task, &origin).await else {
@@ -249,7 +249,7 @@
             roster: Rc::new(move || roster.roster()),
         };
         self.adopt(task).await;
-        self.load.borrow_mut().restage();
+        self.evidence.borrow_mut().restage();
         let begun = self.given.clock.now();
         tokio::select! {
             brought = bring.run() => match brought {
@@ -342,18 +342,18 @@
     }
 
     fn observe_engine(&self, task: &Task, report: &Report) {
-        let sighting = Sighting {
+        let observation = Observation {
             is_loading: report.is_busy,
             is_served: report.version_of(&task.model) == Some(task.version),
             orders: report.orders,
         };
-        let mut load = self.load.borrow_mut();
-        let before = load.step();
-        load.observe(sighting, self.given.clock.now());
-        if load.step() != before {
+        let mut evidence = self.evidence.borrow_mut();
+        let before = evidence.step();
+        evidence.observe(observation, self.given.clock.now());
+        if evidence.step() != before {
             info!(self.given.logger, "engine: evidence on its layers changed";
                 "model" => task.model.as_str(), "version" => task.version,
-                "before" => ?before, "after" => ?load.step());
+                "before" => ?before, "after" => ?evidence.step());
         }
     }
 
@@ -368,7 +368,7 @@
             }
         };
         self.observe_engine(task, &report);
-        let step = self.load.borrow().step();
+        let step = self.evidence.borrow().step();
         let served = report.version_of(&task.model);
         let is_moving = report.is_busy || served.is_none() || step != Step::Serve;
         self.tell(&task.model, served, is_moving);
@@ -397,11 +397,11 @@
         let begun_at = self.given.clock.now();
         let bad = bring.inspect().await;
         if bad.is_empty() {
-            self.load.borrow_mut().pass(begun_at);
+            self.evidence.borrow_mut().pass(begun_at);
             return true;
         }
-        let before = self.load.borrow().step();
-        self.load.borrow_mut().restage();
+        let before = self.evidence.borrow().step();
+        self.evidence.borrow_mut().restage();
         if before == Step::Inspect {
             warn!(self.given.logger, "engine: may have loaded spoilt chunks and is not used";
                 "model" => task.model.as_str(), "version" => task.version);
@@ -433,7 +433,7 @@
         if !self.inspect(task, bring).await {
             return false;
         }
-        if self.load.borrow().age(now).is_none() {
+        if self.evidence.borrow().age(now).is_none() {
             return true;
         }
         // Entries turn away first, so that nothing is sent to an engine that takes nothing.
@@ -445,20 +445,22 @@
     /// Orders the engine to load what is staged, unless it was read too long ago.
     async fn order(&self, task: &Task, served: Option<u64>) -> bool {
         let now = self.given.clock.now();
-        let age = self.load.borrow().age(now).unwrap_or_default();
-        if !self.load.borrow().may_order(now) || !self.is_current(task) {
+        let age = self.evidence.borrow().age(now).unwrap_or_default();
+        if !self.evidence.borrow().may_order(now) || !self.is_current(task) {
             info!(self.given.logger, "engine: order put off"; "model" => task.model.as_str(),
                 "version" => task.version, "read_age_ms" => age.as_millis() as u64);
             return true;
         }
-        let layers = self.load.borrow().part(task.layers);
+        let layers = self.evidence.borrow().part(task.layers);
         let engine = &self.given.engine;
         let ordered = engine
             .load(&task.model, task.version, layers.clone(), task.layers)
             .await;
         let now = self.given.clock.now();
-        let age = self.load.borrow().age(now).unwrap_or_default();
-        self.load.borrow_mut().answer(ordered.as_ref().ok(), now);
+        let age = self.evidence.borrow().age(now).unwrap_or_default();
+        self.evidence
+            .borrow_mut()
+            .answer(ordered.as_ref().ok(), now);
         let reason = match &ordered {
             Ok(Reply::Refused(reason)) => Some(reason.clone()),
             Ok(Reply::Begun | Reply::InEffect) => None,
