Name the search for bad chunks, and ask once whether the version is served

Read as a newcomer: Stager::inspect called Bring::inspect, which only lists chunks; it is find_bad_chunks now. reconcile asked twice whether the engine serves the wanted version and matched on a pair; it is one match with guards. Two steps say why they are there. The stand-in engine of the tests asked in three places whether it holds every layer; one function answers.

Behaviour and assertions are unchanged.

--- a/crates/stager/src/bring.rs
+++ b/crates/stager/src/bring.rs
@@ -275,8 +275,8 @@
         Ok(())
     }
 
-    /// Reads back what is staged. Returns the chunks that don't lie there as they should.
-    pub(crate) async fn inspect(&self) -> Vec<usize> {
+    /// Reads back what is staged, and returns the chunks that are spoilt or gone.
+    pub(crate) async fn find_bad_chunks(&self) -> Vec<usize> {
         let mut bad = Vec::new();
         for index in 0..self.manifest.digests.len() {
             let read = self.engine.read(&self.model, index).await;
--- a/crates/stager/src/stager.rs
+++ b/crates/stager/src/stager.rs
@@ -249,6 +249,7 @@
             roster: Rc::new(move || roster.roster()),
         };
         self.adopt(task).await;
+        // What is staged from here on says nothing of what the engine loaded before.
         self.evidence.borrow_mut().restage();
         let begun = self.given.clock.now();
         tokio::select! {
@@ -370,17 +371,18 @@
         self.observe_engine(task, &report);
         let step = self.evidence.borrow().step();
         let served = report.version_of(&task.model);
+        let is_served = served == Some(task.version);
         let is_moving = report.is_busy || served.is_none() || step != Step::Serve;
         self.tell(&task.model, served, is_moving);
         if report.is_busy {
             self.moves_at.set(Some(self.given.clock.now()));
-        } else if served == Some(task.version) {
+        } else if is_served {
             self.moves_at.set(None);
         }
-        match (step, served == Some(task.version)) {
+        match step {
             _ if report.is_busy => {}
-            (Step::Serve, true) => {}
-            (Step::Inspect, true) => return self.inspect(task, bring).await,
+            Step::Serve if is_served => {}
+            Step::Inspect if is_served => return self.inspect(task, bring).await,
             _ => return self.advance(task, bring, served, step).await,
         }
         let period = match is_moving {
@@ -395,7 +397,7 @@
     /// of chunks is doubtful.
     async fn inspect(&self, task: &Task, bring: &mut Bring) -> bool {
         let begun_at = self.given.clock.now();
-        let bad = bring.inspect().await;
+        let bad = bring.find_bad_chunks().await;
         if bad.is_empty() {
             self.evidence.borrow_mut().pass(begun_at);
             return true;
@@ -433,6 +435,7 @@
         if !self.inspect(task, bring).await {
             return false;
         }
+        // Without an age, a chunk was staged again since, and all are read once more.
         if self.evidence.borrow().age(now).is_none() {
             return true;
         }
--- a/crates/stager/tests/versions.rs
+++ b/crates/stager/tests/versions.rs
@@ -208,23 +208,26 @@
 
     /// Whether the engine serves whole layers, or entries are told not to use it.
     fn is_sound(&self) -> bool {
-        let is_used = self
-            .presence
-            .borrow()
-            .as_ref()
-            .is_some_and(|vm| vm.status.lifecycle == Lifecycle::Warm);
-        let layers = self.layers.borrow();
-        let is_complete = layers.len() == LAYERS as usize;
-        !(is_used && is_complete) || layers.values().all(|is_whole| *is_whole)
+        !self.is_used() || self.layers.borrow().values().all(|is_whole| *is_whole)
     }
 
-    /// Whether the engine serves a version and is used.
-    fn is_in_use(&self, version: u64) -> bool {
+    /// Whether the engine holds every layer.
+    fn is_complete(&self) -> bool {
+        self.layers.borrow().len() == LAYERS as usize
+    }
+
+    /// Whether the engine holds every layer, and entries are told to use it.
+    fn is_used(&self) -> bool {
         let presence = self.presence.borrow();
         let is_warm = presence
             .as_ref()
             .is_some_and(|vm| vm.status.lifecycle == Lifecycle::Warm);
-        is_warm && self.serving.get() == version && self.layers.borrow().len() == LAYERS as usize
+        is_warm && self.is_complete()
+    }
+
+    /// Whether the engine serves a version and is used.
+    fn is_in_use(&self, version: u64) -> bool {
+        self.is_used() && self.serving.get() == version
     }
 }
 
@@ -237,8 +240,10 @@
             self.0
                 .reads
                 .set(self.0.reads.get() + u32::from(layers == 0));
-            let is_complete = self.0.layers.borrow().len() == LAYERS as usize;
-            let serving = is_complete.then(|| ("m".into(), self.0.serving.get()));
+            let serving = self
+                .0
+                .is_complete()
+                .then(|| ("m".into(), self.0.serving.get()));
             Ok(Report {
                 serving: serving.into_iter().collect(),
                 is_busy: self.0.is_busy.get(),
