--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -7,6 +7,7 @@
 //! number of entries. See `docs/PLATFORM.md`, "Placing".
 
 mod capacity;
+mod targets;
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -33,6 +34,7 @@
 };
 
 pub use capacity::Capacity;
+use targets::Targets;
 
 /// Score penalty of an instance in another zone, as a fraction of its slots. Crossing regions adds
 /// a few milliseconds and uses bandwidth of a narrow link.
@@ -191,14 +193,6 @@
     serving: Vec<(name::Artifact, u64)>,
 }
 
-/// A target version of a model.
-#[derive(Clone, Copy, Debug)]
-struct Target {
-    version: u64,
-    /// From when on older versions must not be used.
-    due_at: Instant,
-}
-
 /// The number of requests at an engine at which it gets no further one of the given rank.
 fn occupancy_limit(slots: u32, rank: u32) -> u32 {
     match rank {
@@ -211,18 +205,15 @@
 pub struct Placer {
     zone: name::AvailabilityZone,
     regions: HashMap<name::AvailabilityZone, name::Region>,
-    grace: Grace,
     /// How long after the last request for an old version a request may begin on it.
     version_margin: Option<Duration>,
-    started_at: Instant,
     loads: HashMap<name::Instance, Load>,
     breakers: breaker::Table<name::Instance>,
     /// Engines from which nothing comes.
     silent: silence::Table,
     /// What the instances said of themselves.
     notices: notice::Table,
-    /// The target versions of each model, oldest first.
-    targets: HashMap<name::Artifact, Vec<Target>>,
+    targets: Targets,
     /// Zones that are back in service, with the time until which their instances count as cold.
     cold_until: HashMap<name::AvailabilityZone, Instant>,
     zones_out: Vec<name::AvailabilityZone>,
@@ -252,14 +243,12 @@
             roster: Roster::new(name::Vm::from(""), zone.clone()),
             zone,
             regions,
-            grace,
             version_margin: None,
-            started_at: now,
             loads: HashMap::new(),
             breakers: breaker::Table::new(),
             silent: silence::Table::new(),
             notices: notice::Table::new(Duration::ZERO),
-            targets: HashMap::new(),
+            targets: Targets::new(grace.seen, now + grace.unseen),
             cold_until: HashMap::new(),
             zones_out: Vec::new(),
             engines: HashMap::new(),
@@ -303,7 +292,7 @@
     /// Updates from a new view of the replicated state. `targets` has the versions that were set so
     /// far.
     pub fn observe(&mut self, view: &View, targets: &naming::Table, now: Instant) {
-        self.observe_targets(view, targets, now);
+        self.targets.observe(view, targets, now);
         self.observe_zones(view, now);
         self.observe_engines(view);
         let entries = view
@@ -653,7 +642,7 @@
             return None;
         }
         let held = self.held_version(engine, instance, model)?;
-        match (requirements.pinned, self.min_version(model, now)) {
+        match (requirements.pinned, self.targets.min_version(model, now)) {
             // A resumed answer keeps its version unless that version is no longer allowed.
             (Some(pinned), min) => {
                 let is_expired = min.is_some_and(|min| pinned < min);
@@ -690,17 +679,7 @@
         let margin = self.version_margin?;
         let service = view.services.get(&instance.service)?;
         let held = self.held_version(service.engine.as_ref()?, instance, model)?;
-        let mut targets = self.targets.get(model)?.iter();
-        // They are due in their order.
-        let newer = targets.find(|target| target.version > held)?;
-        Some(newer.due_at + margin)
-    }
-
-    /// The oldest version of a model that is still allowed, if any target version is due.
-    fn min_version(&self, model: &name::Artifact, now: Instant) -> Option<u64> {
-        let targets = self.targets.get(model)?;
-        let due = targets.iter().rev().find(|target| now >= target.due_at);
-        due.map(|target| target.version)
+        Some(self.targets.end_of(model, held)? + margin)
     }
 
     /// Returns the load of the instance plus penalties and jitter, in multiples of its slots, or
@@ -773,34 +752,6 @@
         instance.cold_ms > 0 || is_zone_cold
     }
 
-    fn observe_targets(&mut self, view: &View, set: &naming::Table, now: Instant) {
-        let earliest = self.started_at + self.grace.unseen;
-        for (model, version) in &view.targets {
-            let targets = self.targets.entry(model.clone()).or_default();
-            let unknown = naming::Target {
-                version: *version,
-                set_after: None,
-            };
-            for target in set.of(model).iter().chain([&unknown]) {
-                if targets
-                    .last()
-                    .is_some_and(|last| last.version >= target.version)
-                {
-                    continue;
-                }
-                // A target that has been superseded keeps its due time. Without this, requests could
-                // begin on a version older than both targets.
-                let due = targets.iter().rposition(|target| now >= target.due_at);
-                targets.drain(..due.unwrap_or_default());
-                let counted = target.set_after.map(|at| at + self.grace.seen);
-                targets.push(Target {
-                    version: target.version,
-                    due_at: counted.map_or(earliest, |due_at| due_at.max(earliest)),
-                });
-            }
-        }
-    }
-
     /// The number of other entries in the zone of this one.
     fn others_in_zone(&self, view: &View) -> usize {
         let vms = view.vms.values().map(|vm| &vm.announcement);
