Let the agent tests' state feed keep records that are applied while it is read

Cause: the stand-in for the feed confirms its state on every read by loading and storing it in two steps. A record that the test applies between the two steps is put back, and no later read brings it again. The product is not involved.

No check or bound of any test changed.

--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -102,23 +102,21 @@
     }
 
     pub fn apply(&self, deltas: Vec<Delta>) {
-        let mut view = View::clone(&self.feed.load().view);
-        let commit = view.commit + 1;
-        view.apply(Batch {
-            is_snapshot: false,
-            deltas,
-            revision: Revision(commit),
-            commit,
-            cursor: Cursor::default(),
-            age_ms: 0,
-            held_ms: 0,
-        })
-        .unwrap();
-        self.feed.store(Arc::new(uplink::Feed {
-            view: Arc::new(view),
-            bound: Bound::new(self.clock.now(), Duration::ZERO),
-            targets: Arc::default(),
-        }));
+        self.feed.rcu(|feed| {
+            let mut view = View::clone(&feed.view);
+            let commit = view.commit + 1;
+            view.apply(Batch {
+                is_snapshot: false,
+                deltas: deltas.clone(),
+                revision: Revision(commit),
+                commit,
+                cursor: Cursor::default(),
+                age_ms: 0,
+                held_ms: 0,
+            })
+            .unwrap();
+            self.confirmed(Arc::new(view))
+        });
         self.changes.send_modify(|n| *n += 1);
     }
 
@@ -128,16 +126,18 @@
         self.is_live.store(is_live, Ordering::SeqCst);
     }
 
+    /// Confirms the state now. Agents do this while the test applies records, so it must not put
+    /// back a state that it read before them.
     fn freeze_age(&self) {
-        let view = self.feed.load().view.clone();
-        let bound = Bound::new(self.clock.now(), Duration::ZERO);
-        let targets = Arc::default();
-        let feed = uplink::Feed {
+        self.feed.rcu(|feed| self.confirmed(feed.view.clone()));
+    }
+
+    fn confirmed(&self, view: Arc<View>) -> uplink::Feed {
+        uplink::Feed {
             view,
-            bound,
-            targets,
-        };
-        self.feed.store(Arc::new(feed));
+            bound: Bound::new(self.clock.now(), Duration::ZERO),
+            targets: Arc::default(),
+        }
     }
 }
 
