--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -97,17 +97,17 @@
 
     /// Applies records and confirms them now.
     pub fn set(&self, records: Vec<Record>) {
-        let deltas = records.into_iter().map(Delta::Set).collect();
-        self.apply(deltas);
+        let deltas: Vec<_> = records.into_iter().map(Delta::Set).collect();
+        self.apply(&deltas);
     }
 
-    pub fn apply(&self, deltas: Vec<Delta>) {
+    pub fn apply(&self, deltas: &[Delta]) {
         self.feed.rcu(|feed| {
             let mut view = View::clone(&feed.view);
             let commit = view.commit + 1;
             view.apply(Batch {
                 is_snapshot: false,
-                deltas: deltas.clone(),
+                deltas: deltas.to_vec(),
                 revision: Revision(commit),
                 commit,
                 cursor: Cursor::default(),
--- a/crates/agent/tests/model.rs
+++ b/crates/agent/tests/model.rs
@@ -240,7 +240,7 @@
             "shutdown" => gate.drain(),
             _ => {
                 let key = Key::Rollout("sand@3".into());
-                agent.feed.apply(vec![Delta::Remove(key)]);
+                agent.feed.apply(&[Delta::Remove(key)]);
             }
         }
         let answer = waiting.await.unwrap();
@@ -266,7 +266,7 @@
             .await;
         assert_eq!(out.problem().outcome, Outcome::NotRun);
         let back = Delta::Remove(Key::ZoneOut("saldanha".into()));
-        agent.feed.apply(vec![back]);
+        agent.feed.apply(&[back]);
         let back = Call::model(2 * round + 1, &version.id, "a", 2);
         assert_eq!(client.send(back).await.status, StatusCode::OK);
     }
--- a/crates/agent/tests/orders.rs
+++ b/crates/agent/tests/orders.rs
@@ -74,7 +74,7 @@
     });
     wait(|| engine.stats().started == 1).await;
     let key = Key::Rollout(version.id.to_string().into());
-    agent.feed.apply(vec![Delta::Remove(key)]);
+    agent.feed.apply(&[Delta::Remove(key)]);
     let site = agent.daemon().site().clone();
     wait(|| site.served.load().is_empty()).await;
     assert_eq!(engine.state().serving.len(), 1);
