Count, log and read the limit that an instance names in its answers

Neither the log nor the metrics of an entry told whether it had heard of a limit, nor what it sent to that instance since, so that the four hypotheses could not be told apart.

Nothing acts on it yet.

Measured: notice tests of policy, relay and platform pass.

--- a/crates/policy/src/notice.rs
+++ b/crates/policy/src/notice.rs
@@ -1,5 +1,5 @@
-//! What instances say of themselves in their answers: that they leave, and for how long they want
-//! no more requests.
+//! What instances say of themselves in their answers: that they leave, for how long they want no
+//! more requests, and how many requests a second they take from all entries together.
 //!
 //! An entry acts on this alone and at once, whatever control says of the instance: it holds while
 //! control can't be reached, and control may learn of it seconds later. It is no sign of a fault,
@@ -18,6 +18,19 @@
 /// control lost sight of may be listed again.
 const MEMORY: Duration = Duration::from_secs(600);
 
+/// The number of thousandths in one.
+const MILLI: f64 = 1_000.0;
+
+/// How many requests an instance takes from all entries together.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, derive_more::Display, derive_more::From,
+)]
+#[display("{}", *millicalls_per_s as f64 / MILLI)]
+pub struct Limit {
+    /// In thousandths of a request per second.
+    pub millicalls_per_s: u64,
+}
+
 /// What one answer says of its instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Notice {
@@ -25,6 +38,8 @@
     pub is_leaving: bool,
     /// The instance wants no request for so long.
     pub pause: Option<Duration>,
+    /// The instance takes no more requests than this.
+    pub limit: Option<Limit>,
 }
 
 /// How an instance may be used, by its own word.
@@ -47,6 +62,10 @@
     Leaving,
     /// The instance asks for a pause while it is in none.
     Paused(Duration),
+    /// The instance names a limit that it had not named before.
+    Limited(Limit),
+    /// The instance no longer names a limit.
+    Unlimited,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -54,6 +73,7 @@
     born_ms: u64,
     leaving_at: Option<Instant>,
     paused_until: Instant,
+    limit: Option<Limit>,
     heard_at: Instant,
 }
 
@@ -75,13 +95,14 @@
 
     /// Records what an answer of the instance says. The longest pause holds.
     pub fn observe(&mut self, instance: &Instance, notice: Notice, now: Instant) -> Vec<Change> {
-        if notice == Notice::default() {
+        if notice == Notice::default() && !self.records.contains_key(&instance.id) {
             return Vec::new();
         }
         let fresh = Record {
             born_ms: instance.born_ms,
             leaving_at: None,
             paused_until: now,
+            limit: None,
             heard_at: now,
         };
         let record = self.records.entry(instance.id.clone()).or_insert(fresh);
@@ -100,6 +121,10 @@
             }
             record.paused_until = record.paused_until.max(now + pause);
         }
+        match std::mem::replace(&mut record.limit, notice.limit) {
+            known if known == notice.limit => {}
+            _ => changes.push(notice.limit.map_or(Change::Unlimited, Change::Limited)),
+        }
         changes
     }
 
@@ -124,6 +149,14 @@
         }
     }
 
+    /// The limit that the instance named in its last answer.
+    pub fn limit(&self, instance: &Instance) -> Option<Limit> {
+        let record = self.records.get(&instance.id);
+        record
+            .filter(|record| record.born_ms >= instance.born_ms)?
+            .limit
+    }
+
     /// Forgets instances that are neither known nor were heard lately.
     pub fn retain(&mut self, is_known: impl Fn(&name::Instance) -> bool, now: Instant) {
         self.records
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -484,6 +484,11 @@
         self.notices.observe(instance, notice, now)
     }
 
+    /// The limit that the instance named.
+    pub fn limit(&self, instance: &Instance) -> Option<notice::Limit> {
+        self.notices.limit(instance)
+    }
+
     /// Spreads the time at which callers come back after a pause.
     fn spread(&mut self, error: Error) -> Error {
         match error {
--- a/crates/policy/tests/notice.rs
+++ b/crates/policy/tests/notice.rs
@@ -14,6 +14,7 @@
 const LEAVING: Notice = Notice {
     is_leaving: true,
     pause: None,
+    limit: None,
 };
 
 fn instance(id: &str, born_ms: u64) -> Instance {
@@ -33,8 +34,8 @@
 
 fn pause(millis: u64) -> Notice {
     Notice {
-        is_leaving: false,
         pause: Some(Duration::from_millis(millis)),
+        ..Notice::default()
     }
 }
 
@@ -118,8 +119,8 @@
     let mut table = Table::new(DRAIN);
     let one = instance("i", 1);
     let forever = Notice {
-        is_leaving: false,
         pause: Some(Duration::MAX),
+        ..Notice::default()
     };
     table.observe(&one, forever, at(0));
     let end = at(0) + MAX_PAUSE;
@@ -190,6 +191,7 @@
                 let notice = Notice {
                     is_leaving: *is_leaving,
                     pause: pause.map(|ms| Duration::from_millis(ms.into())),
+                    limit: None,
                 };
                 table.observe(&one, notice, at(now));
                 if *is_leaving {
--- a/crates/relay/src/meters.rs
+++ b/crates/relay/src/meters.rs
@@ -17,6 +17,7 @@
     total_seconds: Histogram<f64>,
     attempts: Counter<u64>,
     notices: Counter<u64>,
+    limited: Counter<u64>,
     crashes: Counter<u64>,
     admitted: Counter<u64>,
     refused: Counter<u64>,
@@ -61,7 +62,11 @@
                 .build(),
             notices: meter
                 .u64_counter("gypsum_relay_notices")
-                .with_description("Instances that said they leave or want a pause, by service")
+                .with_description("What instances said of themselves, by service and kind")
+                .build(),
+            limited: meter
+                .u64_counter("gypsum_relay_limited")
+                .with_description("Requests sent to instances that name a limit, by service")
                 .build(),
             crashes: meter
                 .u64_counter("gypsum_relay_crashes")
@@ -147,6 +152,12 @@
         self.notices.add(1, &[service, KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a request that is sent to an instance that names a limit.
+    pub fn limited(&self, service: &name::Service) {
+        let service = KeyValue::new("service", service.to_string());
+        self.limited.add(1, &[service]);
+    }
+
     /// Counts an instance that crashed.
     pub fn crashed(&self, service: &name::Service) {
         let service = KeyValue::new("service", service.to_string());
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -290,6 +290,13 @@
                         "pause_ms" => pause.as_millis() as u64);
                     self.meters.noticed(&instance.service, "pause");
                 }
+                Change::Limited(limit) => {
+                    info!(logger, "instance: names a limit"; "per_s" => limit.to_string());
+                    self.meters.noticed(&instance.service, "limit");
+                }
+                Change::Unlimited => {
+                    info!(logger, "instance: names no limit any more");
+                }
             }
         }
     }
@@ -324,6 +331,10 @@
     pub fn begin(self: &Rc<Self>, view: &View, choice: &Choice, ask: &Ask) -> Turn {
         let now = self.now();
         let prompt_tokens = ask.prompt_tokens;
+        let limit = self.place(|placer| placer.limit(&choice.instance));
+        if limit.is_some() {
+            self.meters.limited(&choice.instance.service);
+        }
         self.place(|placer| placer.begin(view, choice, prompt_tokens, now));
         Turn {
             site: self.clone(),
--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -32,7 +32,7 @@
 use policy::{
     age::Bound,
     naming,
-    notice::Notice,
+    notice::{Limit, Notice},
     placement::{Grace, Placer},
     quarantine::Table,
     view::View,
@@ -113,6 +113,9 @@
                 pause: text("pause")
                     .and_then(|ms| ms.parse().ok())
                     .map(Duration::from_millis),
+                limit: text("limit")
+                    .and_then(|limit| limit.parse::<u64>().ok())
+                    .map(Limit::from),
             },
         }
     }
