Add a failing test: entries together keep the limit that an instance names

Seven relays before one instance that names 1 request a second, each with ten requests a second: 280 reach it in 4 s, 11 are allowed.

--- a/crates/relay/tests/whole/common.rs
+++ b/crates/relay/tests/whole/common.rs
@@ -421,6 +421,18 @@
     )
 }
 
+/// A control that knows so many entries before one instance, with a clock that a test moves.
+pub(crate) fn control_of_entries(upstream: SocketAddr, entries: u16) -> (Rc<Control>, Arc<Manual>) {
+    let routes = [
+        route("/again/", Kind::Idempotent),
+        route("/stream/", Kind::Stream { is_resumable: true }),
+    ];
+    let clock = Arc::new(Manual(AtomicU64::new(0)));
+    let records = routes.into_iter().chain([instance(0, upstream, 1)]);
+    let records = records.chain((0..entries).map(entry)).collect();
+    (control_with(records, Vec::new(), clock.clone()), clock)
+}
+
 fn control_with(
     records: Vec<Record>,
     shared: Vec<name::Service>,
@@ -472,11 +484,26 @@
         Self::join_until(control, future::pending(), Duration::from_secs(1))
     }
 
+    /// The relay on the VM of the entry with this number.
+    pub(crate) fn join_as(control: Rc<Control>, n: u16) -> Self {
+        let vm = format!("entry-{n}").as_str().into();
+        Self::join_as_until(control, vm, future::pending(), Duration::from_secs(1))
+    }
+
     /// A relay that is to end after `leave`, within `limit`.
     pub(crate) fn join_until(
         control: Rc<Control>,
         leave: impl Future<Output = ()> + 'static,
         limit: Duration,
+    ) -> Self {
+        Self::join_as_until(control, "".into(), leave, limit)
+    }
+
+    fn join_as_until(
+        control: Rc<Control>,
+        vm: name::Vm,
+        leave: impl Future<Output = ()> + 'static,
+        limit: Duration,
     ) -> Self {
         let clock = control.clock.clone();
         let grace = Grace {
@@ -486,6 +513,7 @@
         let regions = HashMap::from([("z".into(), "r".into())]);
         let rng = StdRng::seed_from_u64(1);
         let placer = Placer::new("z".into(), regions, grace, rng, Instant::ZERO)
+            .with_vm(vm)
             .with_version_margin(VERSION_MARGIN)
             .with_drain(DRAIN);
         let site = Site::new(Given {
--- a/crates/relay/tests/whole/main.rs
+++ b/crates/relay/tests/whole/main.rs
@@ -10,6 +10,7 @@
 mod gate;
 mod given_up;
 mod heads;
+mod limits;
 mod notices;
 mod shared;
 mod stale;
