Name requests without a prompt by their content in the log

Two lines about a request of a plain service could not be told to be about the same one, so that the hypotheses could not be told apart.

Changed: 'parts' of such a request is a digest of its method, path, caller and body (policy::crash::content_of). Nothing acts on it yet.

--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -35,6 +35,9 @@
 /// How long a probe takes at least until its outcome is known to all entries.
 const PROBE_TIME: Duration = Duration::from_secs(1);
 
+/// The hexadecimal digits that name the content of a request.
+const CONTENT_DIGITS: usize = 32;
+
 /// A part in quarantine, as this entry knows it.
 #[derive(Clone, Copy, Debug)]
 struct Term {
@@ -92,6 +95,25 @@
     })
 }
 
+/// The name of a request that has no prompt, by which its repeats are known: the same method, path,
+/// caller and body at whichever entry.
+pub fn content_of(
+    method: &str,
+    target: &str,
+    customer: Option<&name::Customer>,
+    body: &[u8],
+) -> name::Part {
+    let customer = customer.map_or("", name::Customer::as_str);
+    let mut hasher = blake3::Hasher::new();
+    for field in [method.as_bytes(), target.as_bytes(), customer.as_bytes()] {
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    hasher.update(body);
+    let digest = hasher.finalize().to_hex();
+    name::Part::from(format!("content.{}", &digest[..CONTENT_DIGITS]).as_str())
+}
+
 impl Tracker {
     /// Creates a tracker that has seen nothing.
     pub fn new() -> Self {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -9,7 +9,7 @@
 use peer::uplink::Feed;
 use policy::{
     admission::Timeliness,
-    crash::Verdict,
+    crash::{self, Verdict},
     drain, load,
     placement::{self, Choice, Placer, Requirements, Share},
 };
@@ -205,6 +205,12 @@
             retry: Duration::ZERO,
         });
     }
+    if ask.parts.is_empty() {
+        let customer = caller.map(|caller| &caller.name);
+        let path = target(&head.uri).to_string();
+        let content = crash::content_of(head.method.as_str(), &path, customer, &body);
+        trace.parts = Arc::new([content]);
+    }
     trace.waited = site.has_waited(route, caller_timeout);
     // A stream that is to go on has begun already.
     let latency_target = Duration::from_millis(route.target_ms.into());
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -81,7 +81,7 @@
     pub basis: Option<(u64, u64)>,
     /// How long the caller had waited already when it asked: after a refusal it comes back.
     pub waited: Duration,
-    /// The parts of the prompt.
+    /// The parts of the prompt, or what names the content of a request without one.
     pub parts: Arc<[name::Part]>,
     /// Each instance that was tried, with what came of it.
     pub steps: Vec<String>,
