Quarantine requests without a prompt by their content

Cause: the quarantine knew requests by the parts of their prompts only, and these have none.

Changed: the digest of method, path, caller and body stands for the parts of a request without a prompt. As no other request shares it, three instances in two moments suffice to convict it.

--- a/crates/domain/src/quarantine.rs
+++ b/crates/domain/src/quarantine.rs
@@ -1,4 +1,5 @@
-//! Parts of prompts that crash the instances which begin to answer them.
+//! Parts of prompts, and requests without a prompt, that crash the instances which begin to answer
+//! them.
 //!
 //! See `docs/ARCHITECTURE.md`, "Quarantine".
 
@@ -7,7 +8,11 @@
 
 use crate::name;
 
-/// A part of a prompt, as requests for one service carry it.
+/// What the names of requests without a prompt begin with. Callers name no part so.
+pub const CONTENT_PREFIX: &str = "content.";
+
+/// A part of a prompt, as requests for one service carry it, or the content of a request without a
+/// prompt.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[display("{service}/{part}")]
 pub struct Key {
@@ -17,6 +22,13 @@
     pub part: name::Part,
 }
 
+impl Key {
+    /// Whether it stands for one request, which others don't share.
+    pub fn is_content(&self) -> bool {
+        self.part.as_str().starts_with(CONTENT_PREFIX)
+    }
+}
+
 /// A process of an instance.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Process {
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -15,7 +15,7 @@
     clock::Instant,
     instance::Instance,
     name,
-    quarantine::{Crash, Key, Process},
+    quarantine::{CONTENT_PREFIX, Crash, Key, Process},
 };
 
 use crate::{quarantine, view::View};
@@ -111,7 +111,7 @@
     }
     hasher.update(body);
     let digest = hasher.finalize().to_hex();
-    name::Part::from(format!("content.{}", &digest[..CONTENT_DIGITS]).as_str())
+    name::Part::from(format!("{CONTENT_PREFIX}{}", &digest[..CONTENT_DIGITS]).as_str())
 }
 
 impl Tracker {
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -21,6 +21,8 @@
 /// Fewer moments suffice where as many instances crashed: a part that many requests share would
 /// have been answered meanwhile.
 pub const PROCESSES: usize = 5;
+/// The same for the content of a request, which no other request shares.
+pub const CONTENT_PROCESSES: usize = 3;
 /// See [`PROCESSES`].
 const MIN_MOMENTS: usize = 2;
 /// Crashes closer to each other than this are one moment, in milliseconds: a zone that loses power
@@ -77,9 +79,13 @@
         self.crashes.iter().filter(counts).count()
     }
 
-    fn is_convincing(&self) -> bool {
+    fn is_convincing(&self, key: &Key) -> bool {
         let moments = self.moments();
-        moments >= MOMENTS || (moments >= MIN_MOMENTS && self.crashes.len() >= PROCESSES)
+        let processes = match key.is_content() {
+            true => CONTENT_PROCESSES,
+            false => PROCESSES,
+        };
+        moments >= MOMENTS || (moments >= MIN_MOMENTS && self.crashes.len() >= processes)
     }
 
     fn add(&mut self, seen: &Seen) {
@@ -205,7 +211,7 @@
         let guilty: Vec<_> = keys
             .iter()
             .filter(|key| Some(self.evidence(key)) == most)
-            .filter(|key| self.get(key).is_some_and(Case::is_convincing))
+            .filter(|key| self.get(key).is_some_and(|case| case.is_convincing(key)))
             .cloned()
             .collect();
         if !guilty.is_empty() {
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -9,7 +9,7 @@
     clock::Instant,
     instance::{Instance, Phase},
     name,
-    quarantine::{Key, Process, Reply, Write},
+    quarantine::{CONTENT_PREFIX, Key, Process, Reply, Write},
     record::{Batch, Cursor, Delta, Record},
 };
 use policy::{
@@ -49,6 +49,8 @@
     poison: Option<(f64, u64, usize)>,
     /// When which part of the instances crashes by itself.
     crashes: Vec<(u64, f64)>,
+    /// Whether requests have no prompt, so that they are known by their content. A few are the same.
+    by_content: bool,
 }
 
 struct Running {
@@ -162,6 +164,13 @@
             parts.insert(place, part("deadly".to_owned()));
             is_deadly = true;
         }
+        if self.day.by_content {
+            let content = match is_deadly {
+                true => "deadly".to_owned(),
+                false => session.to_string(),
+            };
+            parts = vec![part(format!("{CONTENT_PREFIX}{content}"))];
+        }
         let entry = self.rng.random_range(0..self.day.entries);
         self.report.sound += usize::from(!is_deadly);
         match self.trackers[entry].judge(&service(), &parts, at(now)) {
@@ -361,7 +370,7 @@
 /// the users' days.
 #[test]
 fn a_part_that_crashes_instances_is_hardly_sent_after_the_fifth_crash() {
-    for seed in 0..20 {
+    for seed in 0..40 {
         let mut rng = StdRng::seed_from_u64(seed);
         let instances = rng.random_range(4..200);
         let day = Day {
@@ -376,6 +385,7 @@
                 rng.random_range(0..3),
             )),
             crashes: vec![(rng.random_range(0..20) * 1_000, rng.random_range(0.0..0.4))],
+            by_content: seed % 2 == 1,
         };
         let report = World::new(day.clone()).run();
         let fifth = report.crashes.get(4).or(report.crashes.last()).copied();
@@ -401,7 +411,7 @@
 /// kinds of requests into quarantine.
 #[test]
 fn crashes_without_a_cause_in_requests_put_no_part_into_quarantine() {
-    for seed in 0..10 {
+    for seed in 0..20 {
         let mut rng = StdRng::seed_from_u64(1_000 + seed);
         let instances = rng.random_range(1..500);
         let crashes = (0..rng.random_range(1..12)).map(|_| {
@@ -417,6 +427,7 @@
             length_ms: 22_000,
             poison: None,
             crashes,
+            by_content: seed % 2 == 1,
         };
         let report = World::new(day.clone()).run();
         assert!(report.wrong.is_empty(), "{:?}, {day:?}", report.wrong);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -166,7 +166,7 @@
     trace: &mut Trace,
     head: request::Parts,
     body: Bytes,
-    ask: Ask,
+    mut ask: Ask,
     received_at: Instant,
 ) -> Result<Resolved, Failure> {
     let feed = site.feed();
@@ -209,7 +209,8 @@
         let customer = caller.map(|caller| &caller.name);
         let path = target(&head.uri).to_string();
         let content = crash::content_of(head.method.as_str(), &path, customer, &body);
-        trace.parts = Arc::new([content]);
+        ask.parts = Arc::new([content]);
+        trace.parts = ask.parts.clone();
     }
     trace.waited = site.has_waited(route, caller_timeout);
     // A stream that is to go on has begun already.
@@ -574,7 +575,7 @@
 
 fn quarantined(left: Duration) -> Failure {
     Failure::Refused {
-        reason: "a part of the prompt crashes instances".to_owned(),
+        reason: "the request or a part of its prompt crashes instances".to_owned(),
         retry: left,
     }
 }
--- a/crates/relay/tests/whole/crashes.rs
+++ b/crates/relay/tests/whole/crashes.rs
@@ -135,6 +135,34 @@
     });
 }
 
+/// Fails where a request without a prompt is known by nothing: eight instances of eight crashed.
+#[test]
+fn a_request_without_a_prompt_that_crashes_instances_does_not_take_them_down_one_after_the_other() {
+    run(async {
+        for path in ["/again/", "/once/", "/stream/"] {
+            let (instances, control) = fleet(8).await;
+            let relays: Vec<_> = (0..3).map(|_| Relay::join(control.clone())).collect();
+            for n in 0..12 {
+                let sound = relays[n % 3].send(&format!("{path}sound-{n}")).await;
+                assert!(sound.starts_with("HTTP/1.1 200"), "{path} {n}: {sound}");
+                relays[n % 3].send(&format!("{path}deadly")).await;
+                time::sleep(MOMENT).await;
+            }
+            assert!(reached(&instances) <= 4, "{path}: {}", reached(&instances));
+            let refused = relays[0].send(&format!("{path}deadly")).await;
+            assert!(refused.starts_with("HTTP/1.1 503"), "{path}: {refused}");
+            assert!(refused.contains("retry-after"), "{path}: {refused}");
+            // The same path with another body is another request.
+            let other = format!(
+                "GET {path}deadly HTTP/1.1\r\nhost: h\r\nid: q\r\nconnection: close\r\n\
+                 content-length: 1\r\n\r\nx"
+            );
+            let other = relays[0].send_raw(&other).await;
+            assert!(other.starts_with("HTTP/1.1 502"), "{path}: {other}");
+        }
+    });
+}
+
 /// Fails where the second attempt does not look at the first: two instances crash.
 #[test]
 fn a_request_that_was_in_a_crash_before_is_not_repeated() {
