Pass on no status that a final answer can't have

Cause: any status that parses was taken for an answer.

Changed: an answer whose status is not from 200 to 599 is none. Its instance has failed: the request is repeated where that is allowed, the caller gets 502 otherwise, and never hears that it did not run.

Measured: broken::a_status_that_no_answer_may_have_is_not_passed_on, 13 status lines on three kinds of routes, failed before at 101, and with that left out at 600, and passes. Bodies with 204, 205 and 304, and statuses in answers of origins, agents and control, were not looked at.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -196,6 +196,12 @@
     )
 }
 
+/// Whether a status is one of a final answer. Others are no answer: nothing asked the instance for
+/// another protocol, and what is above has no meaning to callers.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether the answer belongs to the request, and what it says. A faulty instance may write an
 /// earlier answer once more on a kept connection, where it would be taken for the next one.
 fn judge(
@@ -213,6 +219,10 @@
     let is_refusal = reply.is_not_run && head.status != StatusCode::BAD_REQUEST;
     let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
     match () {
+        () if !is_final(head.status) => Outcome::Lost(format!(
+            "an answer with the status {} came",
+            head.status.as_u16()
+        )),
         () if is_foreign => Outcome::Lost("an answer to another request came".to_owned()),
         // The address may belong to a server that is no instance, and its 404 is not the caller's.
         () if is_unsigned => {
--- a/crates/relay/tests/whole/broken.rs
+++ b/crates/relay/tests/whole/broken.rs
@@ -194,3 +194,26 @@
         }
     });
 }
+
+/// Fails where a status is taken as it comes: callers got 101, and statuses from 600 on.
+#[test]
+fn a_status_that_no_answer_may_have_is_not_passed_on() {
+    let statuses = [
+        "000", "001", "099", "0", "20", "2000", "-20", "2x0", "", "101", "600", "700", "999",
+    ];
+    run(async {
+        for status in statuses {
+            let answer = format!(
+                "HTTP/1.1 {status} No\r\nid: q\r\nseal: 1\r\ncontent-length: 9\r\n\r\ndata: x\n\n"
+            );
+            for path in ["/again/", "/once/", "/stream/"] {
+                let upstream = Upstream::start(&[&answer, &answer]).await;
+                let relay = Relay::start(&[upstream.address; 2]);
+                let answer = relay.send(path).await;
+                let line = "HTTP/1.1 502";
+                assert!(answer.starts_with(line), "{path} {status:?}: {answer:?}");
+                assert!(!answer.contains("seal"), "{path} {status:?}: {answer:?}");
+            }
+        }
+    });
+}
