--- a/crates/policy/src/cold.rs
+++ b/crates/policy/src/cold.rs
@@ -1,7 +1,7 @@
 //! What all entries together may send to a cold instance, and what one of them may.
 //!
-//! Only a few entries use an instance while it is cold, see [`crate::quota`]. This handles instances that start or come back while callers wait for them, up to
-//! a restart of everything.
+//! Only a few entries use an instance while it is cold, see [`crate::quota`]. This handles instances
+//! that start or come back while callers wait for them, up to a restart of everything.
 
 use domain::routing::Warmup;
 
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -12,8 +12,8 @@
 
 use crate::{bucket::Bucket, roster::Roster};
 
-/// Requests that an entry without a place may send at once.
-const ASK_BURST: u64 = 1;
+/// Requests that an entry may send at once where the cap allows no more.
+const BURST: u64 = 1;
 /// The number of thousandths in one.
 const MILLI: u64 = 1_000;
 
@@ -67,13 +67,13 @@
             false => cap.asks_per_s / u64::from((most - places).max(1)),
         };
         let mut bucket = match earlier {
-            None if cap.starts_full => Bucket::new(rate, ASK_BURST, now),
-            None if has_place => Bucket::new(rate, ASK_BURST, now).with_first_after(interval(rate)),
+            None if cap.starts_full => Bucket::new(rate, BURST, now),
+            None if has_place => Bucket::new(rate, BURST, now).with_first_after(interval(rate)),
             // Entries that hear of a cap together ask one after the other.
             None => {
                 let rank = roster.rank(&instance.id);
                 let wait = interval(cap.asks_per_s).saturating_mul(rank.saturating_add(1));
-                Bucket::new(rate, ASK_BURST, now).with_first_after(wait)
+                Bucket::new(rate, BURST, now).with_first_after(wait)
             }
             Some(old) => {
                 let mut bucket = old.bucket;
@@ -87,7 +87,7 @@
         };
         bucket.set_size(match has_place {
             true => cap.burst_millis,
-            false => ASK_BURST * MILLI,
+            false => BURST * MILLI,
         });
         Self {
             cap,
