Convict the content of a request only over a second of crashes

What callers would have seen: a request that comes again and was beside the cause of four crashes within 0.3 s refused for 30 s, and the cause going on.

Cause: 0.28 s are two moments. Three instances in two moments convicted what was repeated beside the cause; the crashes that it explained no longer spoke against the cause, which crashed 8 more instances.

Changed: crashes of three instances must be spread over a second, by which what was only beside the cause has been answered.

Measured: 21 of 21 runs of policy::poison pass, at 7 a time; the relay's tests of crashes pass.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -21,8 +21,11 @@
 /// Fewer moments suffice where as many instances crashed: a part that many requests share would
 /// have been answered meanwhile.
 pub const PROCESSES: usize = 5;
-/// The same for the content of a request, which no other request shares.
+/// Instances in which the content of a request is convicted, as no other request shares it, if their
+/// crashes are spread over [`CONTENT_SPAN_MS`].
 pub const CONTENT_PROCESSES: usize = 3;
+/// What was only beside the cause is answered within this time, or not repeated, in milliseconds.
+pub const CONTENT_SPAN_MS: u64 = 1_000;
 /// See [`PROCESSES`].
 const MIN_MOMENTS: usize = 2;
 /// Crashes closer to each other than this are one moment, in milliseconds: a zone that loses power
@@ -79,13 +82,21 @@
         self.crashes.iter().filter(counts).count()
     }
 
+    /// The time from the first to the last crash, in milliseconds.
+    fn span_ms(&self) -> u64 {
+        let times = self.crashes.first().zip(self.crashes.last());
+        times.map_or(0, |(first, last)| last.at_ms - first.at_ms)
+    }
+
     fn is_convincing(&self, key: &Key) -> bool {
-        let moments = self.moments();
-        let processes = match key.is_content() {
-            true => CONTENT_PROCESSES,
-            false => PROCESSES,
-        };
-        moments >= MOMENTS || (moments >= MIN_MOMENTS && self.crashes.len() >= processes)
+        let (moments, processes) = (self.moments(), self.crashes.len());
+        match () {
+            () if moments >= MOMENTS => true,
+            () if key.is_content() => {
+                processes >= CONTENT_PROCESSES && self.span_ms() >= CONTENT_SPAN_MS
+            }
+            () => moments >= MIN_MOMENTS && processes >= PROCESSES,
+        }
     }
 
     fn add(&mut self, seen: &Seen) {
